--- a/src/bin/lotusspoke-simhost/main.rs
+++ b/src/bin/frostturn-simhost/main.rs
@@ -5,8 +5,8 @@
 
 mod wire;
 
-use lotusspoke::api::{Action, Event, ListEntry};
-use lotusspoke::Router;
+use frostturn::api::{Action, Event, ListEntry};
+use frostturn::Router;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
@@ -125,7 +125,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("lotusspoke-simhost: {reason}");
+            eprintln!("frostturn-simhost: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/lotusspoke-simhost/wire.rs
+++ b/src/bin/frostturn-simhost/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's wire: lines to events, actions to lines. No decision is taken here.
 
-use lotusspoke::api::*;
+use frostturn::api::*;
 use std::collections::HashMap;
 use std::fmt::Write;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! feed it [`Event`](api::Event)s with the time, and carry out the [`Action`](api::Action)s it returns.
 //!
 //! ```
-//! use lotusspoke::api::*;
-//! use lotusspoke::Router;
+//! use frostturn::api::*;
+//! use frostturn::Router;
 //!
 //! let settings = Settings {
 //!     zone: Some("east".into()),
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lotusspoke-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses its part.
 
-use lotusspoke::api::*;
-use lotusspoke::Router;
+use frostturn::api::*;
+use frostturn::Router;
 
 /// Clocks start anywhere.
 pub const START_MS: Millis = 700_000_000.0;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lotusspoke::api::*;
+use frostturn::api::*;
 use std::collections::HashMap;
 
 #[test]
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lotusspoke::api::*;
+use frostturn::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Forty routers in the location, four hundred in all.
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lotusspoke::api::*;
+use frostturn::api::*;
 use std::collections::BTreeMap;
 
 /// Each second asks for `rate` of `object` and of each of `others`; hits everywhere.
