--- a/src/bin/frostturn-simhost/main.rs
+++ b/src/bin/frostturn-simhost/main.rs
@@ -6,11 +6,12 @@
 mod wire;
 
 use frostturn::api::{Action, Event, ListEntry};
+use frostturn::config::Fault;
 use frostturn::Router;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
-use wire::{Fault, Fields};
+use wire::Fields;
 
 /// One router and the names of its classes, which the wire uses in place of their numbers.
 struct Instance {
--- a/src/bin/frostturn-simhost/wire.rs
+++ b/src/bin/frostturn-simhost/wire.rs
@@ -1,12 +1,9 @@
 //! The simulator's wire: lines to events, actions to lines. No decision is taken here.
 
 use frostturn::api::*;
-use std::collections::HashMap;
+use frostturn::config::{self, number, Fault};
 use std::fmt::Write;
 
-/// Why a line cannot be read.
-pub type Fault = String;
-
 /// The fields of one line, taken from left to right.
 pub struct Fields<'a>(std::str::Split<'a, char>);
 
@@ -55,13 +52,6 @@
         .map_err(|()| format!("{what} is not a whole number: {text}"))
 }
 
-fn number(text: &str, what: &str) -> Result<f64, Fault> {
-    text.parse::<f64>()
-        .ok()
-        .filter(|value| value.is_finite())
-        .ok_or_else(|| format!("{what} is not a number: {text}"))
-}
-
 fn outcome(code: u64) -> Result<Outcome, Fault> {
     Ok(match code {
         200 => Outcome::Ok,
@@ -185,158 +175,9 @@
     }))
 }
 
-/// The path=value pairs of a `SPAWN` line.
-struct Options<'a>(HashMap<&'a str, &'a str>);
-
-impl<'a> Options<'a> {
-    fn text(&self, path: &str) -> &'a str {
-        self.0.get(path).copied().unwrap_or_default()
-    }
-
-    fn list(&self, path: &str) -> impl Iterator<Item = &'a str> {
-        self.text(path).split(',').filter(|item| !item.is_empty())
-    }
-
-    fn number(&self, path: &str) -> Result<f64, Fault> {
-        match self.text(path) {
-            "" | "-" => Ok(0.0),
-            text => number(text, path),
-        }
-    }
-
-    fn numbers(&self, path: &str) -> Result<Vec<f64>, Fault> {
-        self.list(path).map(|text| number(text, path)).collect()
-    }
-
-    fn yes(&self, path: &str) -> bool {
-        matches!(self.text(path), "true" | "1")
-    }
-
-    fn yeses(&self, path: &str) -> Vec<bool> {
-        self.list(path).map(|text| matches!(text, "true" | "1")).collect()
-    }
-
-    fn kind(&self, path: &str) -> Result<Option<MachineKind>, Fault> {
-        let place = match self.text(path) {
-            "" | "-" => -1.0,
-            text => number(text, path)?,
-        };
-        Ok(self
-            .list("MachineTypes")
-            .enumerate()
-            .find(|(at, _)| *at as f64 == place)
-            .map(|(_, name)| name.into()))
-    }
-}
-
 /// Reads the pairs of a `SPAWN` line.
 pub fn settings(fields: Fields) -> Result<Settings, Fault> {
-    let options = Options(fields.0.filter_map(|pair| pair.split_once('=')).collect());
-    let guarantees = Guarantees {
-        grace_to_answer_ms: options.number("Guarantees.GraceToAnswerMs")?,
-        stop_sending_ms: options.number("Guarantees.StopSendingWithinMs")?,
-        cold_from: options.number("Guarantees.ColdFrom")?,
-        cold_ms: options.number("Guarantees.ColdMs")?,
-        fall_multiple: options.number("Guarantees.FallMultiple")?,
-        overload_ms: options.number("Guarantees.OverloadForMs")?,
-        parent_cold_from: options.number("FamilyInfo.ParentColdFrom")?,
-        parent_cold_ms: options.number("FamilyInfo.UpperColdMs")?,
-        parent_fall_multiple: options.number("FamilyInfo.UpperFallMultiple")?,
-        purge_notice_ms: options.number("FamilyInfo.NoticeTimeMs")?,
-        purge_gone_ms: options.number("FamilyInfo.GoneEverywhereMs")?,
-    };
-    let limits = Limits {
-        max_attempts: options.number("Limits.MostTries")? as usize,
-        cancelling: options.yes("Limits.Cancelling"),
-        probes: options.yes("Limits.Probes"),
-        retry_after: options.yes("Limits.RetryAfter"),
-        max_retry_after_ms: options.number("Limits.MaxRetryAfterMs")?,
-        second_copies: options.yes("Limits.SecondCopies"),
-    };
-    Ok(Settings {
-        zone: Some(options.text("Az")).filter(|name| !name.is_empty()).map(Zone::from),
-        zones: options.list("Localities").map(Zone::from).collect(),
-        routers_by_zone: as_whole(options.numbers("FamilyInfo.InstancesByZone")?),
-        zone_hubs: options.numbers("FamilyInfo.ZoneHub")?.iter().map(|hub| *hub as usize).collect(),
-        zone_links_kb_per_s: options.numbers("FamilyInfo.LinkInKbPerS")?,
-        routers: options.number("Instances")? as u32,
-        classes: classes(&options)?,
-        parent_kind: options.kind("FamilyInfo.SecondTierKind")?,
-        origin_kind: options.kind("FamilyInfo.MasterKind")?,
-        bypass_allowed: options.yes("FamilyInfo.BypassAllowed"),
-        joins: options.yes("FamilyInfo.Joins"),
-        detail: match options.text("FamilyInfo.Detail") {
-            "all" => Detail::All,
-            "hit" => Detail::Hit,
-            _ => Detail::Silent,
-        },
-        siblings: match options.text("FamilyInfo.Sideways") {
-            "any" => Siblings::Any,
-            "location" => Siblings::Location,
-            _ => Siblings::None,
-        },
-        flow_kb_per_s: Some(options.number("FamilyInfo.OneFlowKbPerS")?).filter(|pace| *pace > 0.0),
-        weights: match options.text("Weights") {
-            "nominal" => Weights::Nominal,
-            "rough" => Weights::Rough,
-            "live" => Weights::Live,
-            _ => Weights::Silent,
-        },
-        discovery: match options.text("Discovery") {
-            "ask" => Discovery::Ask,
-            _ => Discovery::Push,
-        },
-        reports: match options.text("Stats.Source") {
-            "piggyback" => ReportSource::Piggyback,
-            "pull" => ReportSource::Pull,
-            _ => ReportSource::Silent,
-        },
-        guarantees,
-        limits,
-    })
-}
-
-fn as_whole(values: Vec<f64>) -> Vec<u32> {
-    values.into_iter().map(|value| value as u32).collect()
-}
-
-fn classes(options: &Options) -> Result<Vec<ClassSettings>, Fault> {
-    let fresh = options.numbers("FamilyInfo.GoodForMs")?;
-    let stale = options.numbers("FamilyInfo.StaleForMs")?;
-    let stale_worth = options.numbers("FamilyInfo.StaleEarns")?;
-    let in_pieces = options.yeses("FamilyInfo.InPieces");
-    let uncached = options.yeses("FamilyInfo.Uncached");
-    let count = options.number("RequestClasses.count")?.clamp(0.0, 1e4) as usize;
-    (0..count)
-        .map(|at| {
-            let path = |key: &str| format!("RequestClasses.{at}.{key}");
-            let scope = match options.text(&path("DedupScope")) {
-                "all" => DedupScope::All,
-                "zone" => DedupScope::Zone,
-                _ => DedupScope::Cell,
-            };
-            let repeat = match options.text(&path("Repeat")) {
-                "retryable" => Repeat::Retryable,
-                "dedup" => Repeat::Dedup { scope, window_ms: options.number(&path("DedupWindowMs"))? },
-                _ => Repeat::Fragile,
-            };
-            Ok(ClassSettings {
-                name: options.text(&path("Name")).to_owned(),
-                aim_ms: options.number(&path("AimMs"))?,
-                aim_stretch: options.number(&path("AimStretch"))?,
-                deadline_ms: options.number(&path("HardLimitMs"))?,
-                repeat,
-                worth: options.number(&path("Worth"))?,
-                late_worth: options.number(&path("LateWorth"))?,
-                stream: options.yes(&path("Stream")),
-                fresh_ms: fresh.get(at).copied().filter(|span| *span > 0.0),
-                stale_ms: stale.get(at).copied().unwrap_or_default(),
-                stale_worth: stale_worth.get(at).copied().unwrap_or_default(),
-                in_pieces: in_pieces.get(at).copied().unwrap_or_default(),
-                uncached: uncached.get(at).copied().unwrap_or_default(),
-            })
-        })
-        .collect()
+    config::settings(&fields.0.filter_map(|pair| pair.split_once('=')).collect())
 }
 
 /// Writes one action of an instance as a line.
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,301 @@
+//! What a router is told at its start: the environment, the JSON config, and the module's settings.
+//!
+//! The settings come as path=value pairs on the simulator's wire and as nested JSON here. The JSON is
+//! flattened to the same pairs, so that both are read by the same lines.
+
+use crate::api::*;
+use crate::board::{self, Notice};
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Why something cannot be read.
+pub type Fault = String;
+
+/// What the network side needs of the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Net {
+    /// A connection that isn't up after this long counts as refused.
+    pub dial_timeout_ms: Millis,
+    /// Machines close connections that were idle for so long.
+    pub idle_ms: Millis,
+    /// Attempts that one connection carries at once.
+    pub streams: usize,
+    /// Requests that may be open.
+    pub max_open: usize,
+    /// Memory that all its processes may use, in bytes.
+    pub memory: usize,
+    /// File descriptors that it may hold.
+    pub sockets: usize,
+}
+
+/// All that a router is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The notice board.
+    pub board: SocketAddr,
+    /// For random choices.
+    pub seed: u64,
+    /// The notice board's last event that `known` holds.
+    pub rev: u64,
+    /// The events of the start.
+    pub known: Vec<Notice>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The network side's.
+    pub net: Net,
+}
+
+impl Config {
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME` and `PROXY_LISTEN` go before what it says.
+    pub fn from_env() -> Result<Self, Fault> {
+        let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG isn't set".to_owned())?;
+        let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        let var = |name| std::env::var(name).ok().filter(|value: &String| !value.is_empty());
+        Self::read(bytes, var("PROXY_NAME"), var("PROXY_LISTEN")).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Reads the JSON; the name and the address given go before what it says.
+    pub fn read(mut json: Vec<u8>, name: Option<String>, listen: Option<String>) -> Result<Self, Fault> {
+        let value = simd_json::to_owned_value(&mut json).map_err(|e| format!("not JSON: {e}"))?;
+        let text = |key: &str| value.get_str(key).map(str::to_owned);
+        let address = |text: Option<String>, what: &str| {
+            let text = text.ok_or_else(|| format!("{what} is missing"))?;
+            text.parse::<SocketAddr>().map_err(|_| format!("{what} is not an address: {text}"))
+        };
+        let seed = text("seed").unwrap_or_default();
+        let seed = u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?;
+        let mut pairs = Vec::new();
+        flatten("", value.get("settings").ok_or("settings are missing")?, &mut pairs);
+        let options: Options = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+        let or = |path: &str, usual: f64| options.number(path).map(|n| if n > 0.0 { n } else { usual });
+        let limit = |key: &str, usual: f64| {
+            let told = value.get("limits").and_then(|limits| limits.get(key)).and_then(|v| v.cast_f64());
+            told.filter(|n| *n > 0.0).unwrap_or(usual)
+        };
+        let (rev, known) = match value.get("known") {
+            Some(known) => board::notices(known).map_err(|e| format!("known: {e}"))?,
+            None => (0, Vec::new()),
+        };
+        let settings = settings(&options)?;
+        if settings.classes.is_empty() {
+            return Err("settings name no class".to_owned());
+        }
+        Ok(Self {
+            name: name.or(text("name")).unwrap_or_default(),
+            listen: address(listen.or(text("listen")), "listen")?,
+            board: address(text("board"), "board")?,
+            seed,
+            rev,
+            known,
+            net: Net {
+                dial_timeout_ms: or("Limits.DialTimeoutMs", 400.0)?,
+                idle_ms: or("Limits.ConnIdleMs", 30_000.0)?,
+                streams: or("Limits.StreamsPerConn", 32.0)? as usize,
+                max_open: or("Limits.MaxOpen", 4096.0)? as usize,
+                memory: (limit("memory_mb", 192.0) * 1e6) as usize,
+                sockets: limit("sockets", 1024.0) as usize,
+            },
+            settings,
+        })
+    }
+}
+
+/// Turns nested JSON into the pairs of the simulator's first message: plain lists are joined by commas, lists
+/// of objects give their length under `.count`.
+fn flatten(path: &str, value: &OwnedValue, pairs: &mut Vec<(String, String)>) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    if let Some(object) = value.as_object() {
+        object.iter().for_each(|(key, value)| flatten(&below(key), value, pairs));
+    } else if let Some(list) = value.as_array() {
+        if list.iter().any(|item| item.is_object()) {
+            pairs.push((below("count"), list.len().to_string()));
+            list.iter().enumerate().for_each(|(at, item)| flatten(&below(&at.to_string()), item, pairs));
+        } else {
+            pairs.push((path.to_owned(), list.iter().map(plain).collect::<Vec<_>>().join(",")));
+        }
+    } else {
+        pairs.push((path.to_owned(), plain(value)));
+    }
+}
+
+fn plain(value: &OwnedValue) -> String {
+    match value.as_str() {
+        Some(text) => text.to_owned(),
+        None if value.is_null() => "-".to_owned(),
+        None => value.encode(),
+    }
+}
+
+/// Reads a finite number.
+pub fn number(text: &str, what: &str) -> Result<f64, Fault> {
+    text.parse::<f64>()
+        .ok()
+        .filter(|value| value.is_finite())
+        .ok_or_else(|| format!("{what} is not a number: {text}"))
+}
+
+/// The settings' path=value pairs, as the simulator's first message has them.
+#[derive(Debug, Default)]
+pub struct Options<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> FromIterator<(&'a str, &'a str)> for Options<'a> {
+    fn from_iter<T: IntoIterator<Item = (&'a str, &'a str)>>(pairs: T) -> Self {
+        Self(pairs.into_iter().collect())
+    }
+}
+
+impl<'a> Options<'a> {
+    fn text(&self, path: &str) -> &'a str {
+        self.0.get(path).copied().unwrap_or_default()
+    }
+
+    fn list(&self, path: &str) -> impl Iterator<Item = &'a str> {
+        self.text(path).split(',').filter(|item| !item.is_empty())
+    }
+
+    fn number(&self, path: &str) -> Result<f64, Fault> {
+        match self.text(path) {
+            "" | "-" => Ok(0.0),
+            text => number(text, path),
+        }
+    }
+
+    fn numbers(&self, path: &str) -> Result<Vec<f64>, Fault> {
+        self.list(path).map(|text| number(text, path)).collect()
+    }
+
+    fn yes(&self, path: &str) -> bool {
+        matches!(self.text(path), "true" | "1")
+    }
+
+    fn yeses(&self, path: &str) -> Vec<bool> {
+        self.list(path).map(|text| matches!(text, "true" | "1")).collect()
+    }
+
+    fn kind(&self, path: &str) -> Result<Option<MachineKind>, Fault> {
+        let place = match self.text(path) {
+            "" | "-" => -1.0,
+            text => number(text, path)?,
+        };
+        Ok(self
+            .list("MachineTypes")
+            .enumerate()
+            .find(|(at, _)| *at as f64 == place)
+            .map(|(_, name)| name.into()))
+    }
+}
+
+/// Reads the module's settings from the pairs.
+pub fn settings(options: &Options) -> Result<Settings, Fault> {
+    let guarantees = Guarantees {
+        grace_to_answer_ms: options.number("Guarantees.GraceToAnswerMs")?,
+        stop_sending_ms: options.number("Guarantees.StopSendingWithinMs")?,
+        cold_from: options.number("Guarantees.ColdFrom")?,
+        cold_ms: options.number("Guarantees.ColdMs")?,
+        fall_multiple: options.number("Guarantees.FallMultiple")?,
+        overload_ms: options.number("Guarantees.OverloadForMs")?,
+        parent_cold_from: options.number("FamilyInfo.ParentColdFrom")?,
+        parent_cold_ms: options.number("FamilyInfo.UpperColdMs")?,
+        parent_fall_multiple: options.number("FamilyInfo.UpperFallMultiple")?,
+        purge_notice_ms: options.number("FamilyInfo.NoticeTimeMs")?,
+        purge_gone_ms: options.number("FamilyInfo.GoneEverywhereMs")?,
+    };
+    let limits = Limits {
+        max_attempts: options.number("Limits.MostTries")? as usize,
+        cancelling: options.yes("Limits.Cancelling"),
+        probes: options.yes("Limits.Probes"),
+        retry_after: options.yes("Limits.RetryAfter"),
+        max_retry_after_ms: options.number("Limits.MaxRetryAfterMs")?,
+        second_copies: options.yes("Limits.SecondCopies"),
+    };
+    Ok(Settings {
+        zone: Some(options.text("Az")).filter(|name| !name.is_empty()).map(Zone::from),
+        zones: options.list("Localities").map(Zone::from).collect(),
+        routers_by_zone: as_whole(options.numbers("FamilyInfo.InstancesByZone")?),
+        zone_hubs: options.numbers("FamilyInfo.ZoneHub")?.iter().map(|hub| *hub as usize).collect(),
+        zone_links_kb_per_s: options.numbers("FamilyInfo.LinkInKbPerS")?,
+        routers: options.number("Instances")? as u32,
+        classes: classes(options)?,
+        parent_kind: options.kind("FamilyInfo.SecondTierKind")?,
+        origin_kind: options.kind("FamilyInfo.MasterKind")?,
+        bypass_allowed: options.yes("FamilyInfo.BypassAllowed"),
+        joins: options.yes("FamilyInfo.Joins"),
+        detail: match options.text("FamilyInfo.Detail") {
+            "all" => Detail::All,
+            "hit" => Detail::Hit,
+            _ => Detail::Silent,
+        },
+        siblings: match options.text("FamilyInfo.Sideways") {
+            "any" => Siblings::Any,
+            "location" => Siblings::Location,
+            _ => Siblings::None,
+        },
+        flow_kb_per_s: Some(options.number("FamilyInfo.OneFlowKbPerS")?).filter(|pace| *pace > 0.0),
+        weights: match options.text("Weights") {
+            "nominal" => Weights::Nominal,
+            "rough" => Weights::Rough,
+            "live" => Weights::Live,
+            _ => Weights::Silent,
+        },
+        discovery: match options.text("Discovery") {
+            "ask" => Discovery::Ask,
+            _ => Discovery::Push,
+        },
+        reports: match options.text("Stats.Source") {
+            "piggyback" => ReportSource::Piggyback,
+            "pull" => ReportSource::Pull,
+            _ => ReportSource::Silent,
+        },
+        guarantees,
+        limits,
+    })
+}
+
+fn as_whole(values: Vec<f64>) -> Vec<u32> {
+    values.into_iter().map(|value| value as u32).collect()
+}
+
+fn classes(options: &Options) -> Result<Vec<ClassSettings>, Fault> {
+    let fresh = options.numbers("FamilyInfo.GoodForMs")?;
+    let stale = options.numbers("FamilyInfo.StaleForMs")?;
+    let stale_worth = options.numbers("FamilyInfo.StaleEarns")?;
+    let in_pieces = options.yeses("FamilyInfo.InPieces");
+    let uncached = options.yeses("FamilyInfo.Uncached");
+    let count = options.number("RequestClasses.count")?.clamp(0.0, 1e4) as usize;
+    (0..count)
+        .map(|at| {
+            let path = |key: &str| format!("RequestClasses.{at}.{key}");
+            let scope = match options.text(&path("DedupScope")) {
+                "all" => DedupScope::All,
+                "zone" => DedupScope::Zone,
+                _ => DedupScope::Cell,
+            };
+            let repeat = match options.text(&path("Repeat")) {
+                "retryable" => Repeat::Retryable,
+                "dedup" => Repeat::Dedup { scope, window_ms: options.number(&path("DedupWindowMs"))? },
+                _ => Repeat::Fragile,
+            };
+            Ok(ClassSettings {
+                name: options.text(&path("Name")).to_owned(),
+                aim_ms: options.number(&path("AimMs"))?,
+                aim_stretch: options.number(&path("AimStretch"))?,
+                deadline_ms: options.number(&path("HardLimitMs"))?,
+                repeat,
+                worth: options.number(&path("Worth"))?,
+                late_worth: options.number(&path("LateWorth"))?,
+                stream: options.yes(&path("Stream")),
+                fresh_ms: fresh.get(at).copied().filter(|span| *span > 0.0),
+                stale_ms: stale.get(at).copied().unwrap_or_default(),
+                stale_worth: stale_worth.get(at).copied().unwrap_or_default(),
+                in_pieces: in_pieces.get(at).copied().unwrap_or_default(),
+                uncached: uncached.get(at).copied().unwrap_or_default(),
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,86 @@
+//! Figures of what the router takes in, sends and answers; printed on a signal and at exit.
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Counts since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl std::fmt::Display for Counters {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("counters")?;
+                $(write!(f, " {}={}", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests taken from clients.
+    taken,
+    /// Of these, those that a client marked as a retry.
+    repeats,
+    /// Final answers: served with a body.
+    served,
+    /// Served by saying that the client's copy is the one.
+    unchanged,
+    /// Refused.
+    refused,
+    /// Failed.
+    failed,
+    /// Requests that their client gave up.
+    aborted,
+    /// Requests with missing or bad fields, failed at once.
+    bad_requests,
+    /// Requests answered by the guard, since nothing else had.
+    guarded,
+    /// Requests refused for want of memory or room.
+    shed,
+    /// Attempts asked for by the module.
+    attempts,
+    /// Attempts that served.
+    attempt_ok,
+    /// Attempts that found nothing suitable.
+    attempt_miss,
+    /// Attempts turned away.
+    attempt_full,
+    /// Attempts that ended with an error.
+    attempt_error,
+    /// Attempts that ran out of time.
+    attempt_timeout,
+    /// Attempts that found no connection.
+    attempt_unconnected,
+    /// Attempts whose connection broke after they were written whole.
+    attempt_reset,
+    /// Attempts called off.
+    attempt_cancelled,
+    /// Attempts that were not sent, or came too late to run.
+    attempt_moot,
+    /// Of these, those pulled from a queue because they had waited too long or their machine was leaving.
+    attempt_pulled,
+    /// Answers nobody waited for any more.
+    answers_late,
+    /// Answers with an unknown word or id.
+    answers_unknown,
+    /// Probes sent.
+    probes,
+    /// Changes of the list of machines.
+    lists,
+    /// Purges.
+    purges,
+    /// Notice-board polls that failed.
+    board_faults,
+    /// Client connections closed for a malformed record.
+    client_faults,
+    /// Shelf connections closed for an unreadable frame.
+    shelf_faults,
+    /// Connections opened to machines.
+    dials,
+    /// Of these, those refused or not up in time.
+    dials_failed,
+    /// Panics stopped at a connection or an event.
+    panics,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,16 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod back;
+pub mod board;
+pub mod config;
+pub mod counters;
+pub mod fastcgi;
+pub mod front;
+pub mod log;
 pub mod policy;
+pub mod reducer;
+pub mod resp;
+pub mod runtime;
 
 pub use policy::Router;
--- /dev/null
+++ b/src/reducer.rs
@@ -0,0 +1,770 @@
+//! The one place where state changes: inputs go in, effects come out.
+//!
+//! It knows requests, attempts, machines and purges, and no protocol; it reads no clock and does no I/O, so
+//! that equal inputs give equal effects. What is decided about a request is the module's ([`crate::policy`]);
+//! what is owed for it is kept here: one final answer each, in time, and a true report of each attempt's end.
+
+use crate::api::*;
+use crate::board::{Listed, Notice, Word};
+use crate::config::Net;
+use crate::counters::Counters;
+use crate::Router;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// A request is answered this long before its client gives up: its way back, and a busy core.
+const GUARD_MS: Millis = 30.0;
+/// An attempt whose first byte hasn't left by then is pulled back: within the second that drains and purges
+/// leave, counted from the decision.
+const UNSENT_MS: Millis = 600.0;
+/// After SIGTERM new connections come for up to 0.4 s and requests on them for 0.2 s more.
+const STILL_COMING_MS: Millis = 700.0;
+/// SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s more.
+const LONGEST_MS: Millis = 3000.0;
+/// All is answered this long before SIGKILL can come.
+const BEFORE_KILL_MS: Millis = 300.0;
+/// Answers on their way to clients: part of the memory limit from which slow clients are shed, then all.
+const SHED_SLOW: f64 = 0.25;
+const SHED_ALL: f64 = 0.45;
+/// A client connection with more than that unsent is slow.
+const SLOW_BYTES: usize = 256 * 1024;
+/// Part of the descriptors for clients (a third is promised) and for machines; the rest is reserved.
+const CLIENT_SHARE: f64 = 0.5;
+const MACHINE_SHARE: f64 = 0.3;
+
+/// A request of a client connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Client {
+    /// The connection.
+    pub conn: u64,
+    /// Its number there, never used again.
+    pub serial: u64,
+}
+
+/// An attempt's number, never used again.
+pub type AttemptKey = u64;
+
+/// How far an attempt had come. Only the first two prove that nothing ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Progress {
+    /// No byte of it has left.
+    NotConnected,
+    /// Some bytes have left, not all.
+    PartlyWritten,
+    /// It has left whole: it may have run.
+    WrittenWhole,
+    /// Its answer has come.
+    Answered,
+}
+
+/// A client's request as it came.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// The client's id for it; passed on.
+    pub id: String,
+    /// The name of its class.
+    pub class: String,
+    /// How long the client waits, from when it sent the request.
+    pub timeout_ms: Millis,
+    /// Marked as a retry.
+    pub repeat: bool,
+    /// The object.
+    pub object: Option<String>,
+    /// The part of it.
+    pub piece: Option<u64>,
+    /// The object's group.
+    pub group: u64,
+    /// The part's size.
+    pub size_kb: Option<f64>,
+    /// The tag of the client's own copy.
+    pub holds: Option<String>,
+    /// The body; passed on.
+    pub body: Vec<u8>,
+}
+
+/// What a machine is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// The client's request.
+    pub ask: std::rc::Rc<Ask>,
+    /// What the module decided.
+    pub fetch: Fetch,
+}
+
+/// What a machine answered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// How it went.
+    pub outcome: Outcome,
+    /// The bytes.
+    pub body: Vec<u8>,
+    /// The client's copy is the one.
+    pub unchanged: bool,
+    /// What the machine says of it.
+    pub note: Option<Note>,
+    /// The source's time to first byte, or to its failure.
+    pub source_wait_ms: Option<Millis>,
+    /// A load report that came along.
+    pub report: LoadReport,
+}
+
+/// How an attempt ended on the network.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// With an answer.
+    Answer(Answer),
+    /// Its connection never came up, or broke.
+    Lost(Progress),
+}
+
+/// What the reducer is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A request has come whole, `age_ms` after its first byte; or it can't be used.
+    Asked {
+        /// Whose.
+        client: Client,
+        /// What.
+        ask: Result<Ask, &'static str>,
+        /// How long ago it began to come.
+        age_ms: Millis,
+    },
+    /// Somebody asks whether this router is ready.
+    Health {
+        /// Who.
+        client: Client,
+    },
+    /// A client has stopped waiting.
+    Aborted {
+        /// For what.
+        client: Client,
+    },
+    /// Bytes of answers have left for a client, or will never leave.
+    Flushed {
+        /// The connection.
+        conn: u64,
+        /// How many.
+        bytes: usize,
+    },
+    /// A client's connection has ended, with all that was open on it.
+    Closed {
+        /// The connection.
+        conn: u64,
+    },
+    /// An attempt has come further.
+    Progressed {
+        /// Which.
+        attempt: AttemptKey,
+        /// How far.
+        progress: Progress,
+    },
+    /// An attempt has ended.
+    Ended {
+        /// Which.
+        attempt: AttemptKey,
+        /// How.
+        end: End,
+    },
+    /// A probe has ended.
+    Probed {
+        /// Of which machine.
+        member: CacheId,
+        /// How.
+        outcome: Outcome,
+        /// What it reports.
+        report: LoadReport,
+    },
+    /// An event of the notice board.
+    Notice {
+        /// The event.
+        notice: Notice,
+        /// The Unix time now.
+        unix_ms: Millis,
+    },
+    /// Time has passed.
+    Due,
+    /// The operators want it to end.
+    Terminate,
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Served.
+    Served(Vec<u8>),
+    /// The client's copy is the one that would be served.
+    Unchanged,
+    /// Refused: a retry does no harm.
+    Refused {
+        /// When to come back.
+        hold_off_ms: Option<Millis>,
+    },
+    /// Failed.
+    Failed(&'static str),
+    /// Whether this router is ready.
+    Health(bool),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Answer a client.
+    Answer {
+        /// Whom.
+        client: Client,
+        /// What.
+        reply: Reply,
+    },
+    /// Send an attempt.
+    Send {
+        /// Its number.
+        attempt: AttemptKey,
+        /// To which machine.
+        member: CacheId,
+        /// Where that listens now.
+        address: SocketAddr,
+        /// What to ask.
+        call: Call,
+    },
+    /// Give an attempt up: unsend it, or tell the machine.
+    Stop {
+        /// Which.
+        attempt: AttemptKey,
+    },
+    /// Probe a machine.
+    Probe {
+        /// Which.
+        member: CacheId,
+        /// Where it listens now.
+        address: SocketAddr,
+    },
+    /// Close connections to a machine once they carry nothing.
+    Retire {
+        /// Which.
+        member: CacheId,
+    },
+    /// A machine has started anew: what was connected before is dead.
+    Reborn {
+        /// Which.
+        member: CacheId,
+        /// When it started.
+        at: Millis,
+    },
+    /// A line for the operators.
+    Log(String),
+    /// Take no more connections.
+    StopListening,
+    /// All is answered: send what is left and end.
+    Exit,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Due {
+    Module(Token),
+    Guard(Client),
+    Limit(AttemptKey),
+    Unsent(AttemptKey),
+    StopListening,
+    AnswerAll,
+    Exit,
+}
+
+/// A request that is owed its final answer.
+#[derive(Debug)]
+struct Held {
+    id: RequestId,
+    ask: std::rc::Rc<Ask>,
+    fragile: bool,
+    attempts: usize,
+}
+
+/// An attempt that is out.
+#[derive(Debug)]
+struct Out {
+    client: Client,
+    id: RequestId,
+    number: usize,
+    cache: CacheId,
+    source: CacheId,
+    sent: Millis,
+    progress: Progress,
+}
+
+#[derive(Debug)]
+struct Member {
+    address: SocketAddr,
+    phase: Phase,
+    since: Option<Millis>,
+}
+
+/// All state of a router but that of its connections.
+#[derive(Debug)]
+pub struct Reducer {
+    module: Router,
+    classes: HashMap<String, (usize, bool)>,
+    net: Net,
+    unix_offset: Millis,
+    members: BTreeMap<CacheId, Member>,
+    listed: bool,
+    held: BTreeMap<Client, Held>,
+    clients: HashMap<RequestId, Client>,
+    out: BTreeMap<AttemptKey, Out>,
+    next_attempt: AttemptKey,
+    dues: BTreeMap<(u64, u64), Due>,
+    next_due: u64,
+    buffered: HashMap<u64, usize>,
+    buffered_all: usize,
+    terminated: Option<Millis>,
+    exited: bool,
+    events: VecDeque<Event>,
+    effects: Vec<Effect>,
+    /// What it has counted.
+    pub counters: Counters,
+}
+
+impl Reducer {
+    /// A router at its start; `unix_ms` is the Unix time at `now`.
+    pub fn new(settings: Settings, net: Net, seed: u64, now: Millis, unix_ms: Millis) -> Self {
+        let fragile = |class: &ClassSettings| class.repeat != Repeat::Retryable;
+        let classes = settings.classes.iter().enumerate();
+        Self {
+            classes: classes.map(|(at, class)| (class.name.clone(), (at, fragile(class)))).collect(),
+            module: Router::new(settings, seed, now),
+            net,
+            unix_offset: unix_ms - now,
+            members: BTreeMap::new(),
+            listed: false,
+            held: BTreeMap::new(),
+            clients: HashMap::new(),
+            out: BTreeMap::new(),
+            next_attempt: 0,
+            dues: BTreeMap::new(),
+            next_due: 0,
+            buffered: HashMap::new(),
+            buffered_all: 0,
+            terminated: None,
+            exited: false,
+            events: VecDeque::new(),
+            effects: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Whether clients can be served: there are machines to serve from, and no end in sight.
+    pub fn ready(&self) -> bool {
+        let serving = self.members.values().any(|member| member.phase == Phase::Serving);
+        serving && self.terminated.is_none()
+    }
+
+    /// Client connections that may be open.
+    pub fn most_clients(&self) -> usize {
+        (self.net.sockets as f64 * CLIENT_SHARE) as usize
+    }
+
+    /// Connections to machines that may be open.
+    pub fn most_links(&self) -> usize {
+        (self.net.sockets as f64 * MACHINE_SHARE) as usize
+    }
+
+    /// Requests that are owed an answer.
+    pub fn open(&self) -> usize {
+        self.held.len()
+    }
+
+    /// When [`Input::Due`] is wanted next.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.dues.keys().next().map(|(at, _)| *at as f64 / 1000.0)
+    }
+
+    /// Takes one input in; what is to be done, in order.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Effect> {
+        match input {
+            Input::Asked { client, ask, age_ms } => self.asked(now, client, ask, age_ms),
+            Input::Health { client } => {
+                let reply = Reply::Health(self.ready());
+                self.effects.push(Effect::Answer { client, reply });
+            }
+            Input::Aborted { client } => self.aborted(now, client),
+            Input::Flushed { conn, bytes } => {
+                let left = self.buffered.get_mut(&conn);
+                let bytes = left.map_or(0, |left| {
+                    let bytes = bytes.min(*left);
+                    *left -= bytes;
+                    bytes
+                });
+                self.buffered_all -= bytes;
+            }
+            Input::Closed { conn } => {
+                self.buffered_all -= self.buffered.remove(&conn).unwrap_or(0);
+                let all = Client { conn, serial: 0 }..=Client { conn, serial: u64::MAX };
+                let gone: Vec<Client> = self.held.range(all).map(|(client, _)| *client).collect();
+                gone.into_iter().for_each(|client| self.aborted(now, client));
+            }
+            Input::Progressed { attempt, progress } => {
+                if let Some(out) = self.out.get_mut(&attempt) {
+                    out.progress = out.progress.max(progress);
+                }
+            }
+            Input::Ended { attempt, end } => self.ended(now, attempt, end),
+            Input::Probed { member, outcome, report } => {
+                self.events.push_back(Event::Probed { cache: member, outcome, report });
+            }
+            Input::Notice { notice, unix_ms } => self.notice(now, notice, unix_ms),
+            Input::Due => {}
+            Input::Terminate => self.terminate(now),
+        }
+        self.settle(now);
+        while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 as f64 / 1000.0 <= now) {
+            let due = entry.remove();
+            self.due(now, due);
+            self.settle(now);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn at(&mut self, when: Millis, due: Due) {
+        self.next_due += 1;
+        self.dues.insert(((when.max(0.0) * 1000.0).ceil() as u64, self.next_due), due);
+    }
+
+    /// Gives the module what there is for it and takes in what it asks for, until nothing is left.
+    fn settle(&mut self, now: Millis) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = Vec::new();
+            self.module.handle(now, event, &mut actions);
+            actions.into_iter().for_each(|action| self.act(now, action));
+        }
+    }
+
+    fn act(&mut self, now: Millis, action: Action) {
+        match action {
+            Action::Fetch(fetch) => self.send(now, fetch),
+            Action::Refuse { id, hold_off_ms } => self.answer(now, &id, Reply::Refused { hold_off_ms }),
+            Action::Fail { id } => self.answer(now, &id, Reply::Failed("no way to serve it")),
+            Action::Abandon { id, attempt } => {
+                let found = self.out.iter().find(|(_, out)| out.id == id && out.number == attempt);
+                if let Some(key) = found.map(|(key, _)| *key) {
+                    self.stop(now, key, Outcome::Cancelled, Outcome::Moot, false);
+                }
+            }
+            Action::Timer { delay_ms, token } => self.at(now + delay_ms, Due::Module(token)),
+            Action::Probe { cache } => {
+                if let Some(member) = self.members.get(&cache) {
+                    self.counters.probes += 1;
+                    self.effects.push(Effect::Probe { address: member.address, member: cache });
+                }
+            }
+            Action::Subscribe => {} // The board is followed all the time.
+            Action::Log(text) => self.effects.push(Effect::Log(text)),
+        }
+    }
+
+    fn asked(&mut self, now: Millis, client: Client, ask: Result<Ask, &'static str>, age_ms: Millis) {
+        let known = ask.and_then(|ask| {
+            let class = self.classes.get(&ask.class).copied().ok_or("no such class")?;
+            Ok((ask, class))
+        });
+        let (ask, (class, fragile)) = match known {
+            Ok(known) => known,
+            Err(why) => {
+                self.counters.bad_requests += 1;
+                let reply = Reply::Failed(why);
+                return self.effects.push(Effect::Answer { client, reply });
+            }
+        };
+        self.counters.taken += 1;
+        self.counters.repeats += u64::from(ask.repeat);
+        let mut guard = now + ask.timeout_ms - age_ms.max(0.0) - GUARD_MS;
+        if let Some(kill) = self.terminated.map(|at| at + self.patience()) {
+            guard = guard.min(kill);
+        }
+        if self.held.len() >= self.net.max_open || guard <= now {
+            self.counters.shed += 1;
+            self.counters.refused += 1;
+            let reply = Reply::Refused { hold_off_ms: None };
+            return self.effects.push(Effect::Answer { client, reply });
+        }
+        // Ids of the module's own: a client may send one again, on another connection.
+        let id: RequestId = format!("{}.{}", client.conn, client.serial).as_str().into();
+        self.events.push_back(Event::Request(ClientRequest {
+            id: id.clone(),
+            repeat: ask.repeat,
+            class,
+            size_kb: ask.size_kb,
+            piece: ask.piece.unwrap_or(0),
+            budget_ms: guard - now,
+            object: ask.object.as_deref().map(ObjectId::from),
+            group: ask.group,
+        }));
+        self.clients.insert(id.clone(), client);
+        self.held.insert(client, Held { id, ask: ask.into(), fragile, attempts: 0 });
+        self.at(guard, Due::Guard(client));
+    }
+
+    /// Ends a request without an answer: its client is gone.
+    fn aborted(&mut self, now: Millis, client: Client) {
+        let Some(held) = self.held.remove(&client) else { return };
+        self.counters.aborted += 1;
+        self.clients.remove(&held.id);
+        self.events.push_back(Event::Dropped { id: held.id });
+        self.stop_all(now, client, Outcome::Cancelled, true);
+    }
+
+    /// Gives a final answer; later ones for the same request find nothing.
+    fn answer(&mut self, now: Millis, id: &RequestId, reply: Reply) {
+        let Some(client) = self.clients.remove(id) else { return };
+        self.held.remove(&client);
+        match &reply {
+            Reply::Served(body) => {
+                *self.buffered.entry(client.conn).or_default() += body.len();
+                self.buffered_all += body.len();
+                self.counters.served += 1;
+            }
+            Reply::Unchanged => self.counters.unchanged += 1,
+            Reply::Refused { .. } => self.counters.refused += 1,
+            Reply::Failed(_) | Reply::Health(_) => self.counters.failed += 1,
+        }
+        self.effects.push(Effect::Answer { client, reply });
+        self.stop_all(now, client, Outcome::Cancelled, true);
+    }
+
+    fn send(&mut self, now: Millis, fetch: Fetch) {
+        let Some(client) = self.clients.get(&fetch.id).copied() else { return };
+        let Some(held) = self.held.get_mut(&client) else { return };
+        let (number, ask) = (held.attempts, held.ask.clone());
+        held.attempts += 1;
+        self.counters.attempts += 1;
+        self.next_attempt += 1;
+        let key = self.next_attempt;
+        let out = Out {
+            client,
+            id: fetch.id.clone(),
+            number,
+            cache: fetch.cache.clone(),
+            source: fetch.source.clone(),
+            sent: now,
+            progress: Progress::NotConnected,
+        };
+        let address = self.members.get(&fetch.cache).filter(|m| m.phase == Phase::Serving).map(|m| m.address);
+        self.out.insert(key, out);
+        let Some(address) = address else {
+            return self.end(now, key, Outcome::Moot, None, false);
+        };
+        if fetch.timeout_ms > 0.0 {
+            self.at(now + fetch.timeout_ms, Due::Limit(key));
+        }
+        self.at(now + UNSENT_MS, Due::Unsent(key));
+        let (member, call) = (fetch.cache.clone(), Call { ask, fetch });
+        self.effects.push(Effect::Send { attempt: key, member, address, call });
+    }
+
+    /// Gives an attempt up and reports it: as `unsent` where no byte of it has left, else as `sent`.
+    fn stop(&mut self, now: Millis, key: AttemptKey, sent: Outcome, unsent: Outcome, last: bool) {
+        let Some(out) = self.out.get(&key) else { return };
+        // One that is partly written will be written to its end, as other frames follow it.
+        let outcome = if out.progress == Progress::NotConnected { unsent } else { sent };
+        self.effects.push(Effect::Stop { attempt: key });
+        self.end(now, key, outcome, None, last);
+    }
+
+    fn stop_all(&mut self, now: Millis, client: Client, sent: Outcome, last: bool) {
+        let keys: Vec<_> = self.out.iter().filter(|(_, out)| out.client == client).map(|(k, _)| *k).collect();
+        let unsent = if sent == Outcome::Timeout { Outcome::ConnectFailed } else { Outcome::Moot };
+        keys.into_iter().for_each(|key| self.stop(now, key, sent, unsent, last));
+    }
+
+    /// Takes an attempt off the books and reports it to the module.
+    fn end(&mut self, now: Millis, key: AttemptKey, outcome: Outcome, answer: Option<&Answer>, last: bool) {
+        let Some(out) = self.out.remove(&key) else { return };
+        let counters = &mut self.counters;
+        *match outcome {
+            Outcome::Ok => &mut counters.attempt_ok,
+            Outcome::Error => &mut counters.attempt_error,
+            Outcome::Full => &mut counters.attempt_full,
+            Outcome::Timeout => &mut counters.attempt_timeout,
+            Outcome::ConnectFailed => &mut counters.attempt_unconnected,
+            Outcome::Reset => &mut counters.attempt_reset,
+            Outcome::Cancelled => &mut counters.attempt_cancelled,
+            Outcome::Moot => &mut counters.attempt_moot,
+            Outcome::Miss => &mut counters.attempt_miss,
+        } += 1;
+        self.events.push_back(Event::Result(AttemptResult {
+            id: out.id,
+            attempt: out.number,
+            cache: out.cache,
+            outcome,
+            waited_ms: now - out.sent,
+            last,
+            note: answer.and_then(|answer| answer.note),
+            source_wait_ms: answer.and_then(|answer| answer.source_wait_ms),
+            report: answer.map(|answer| answer.report).unwrap_or_default(),
+        }));
+    }
+
+    fn ended(&mut self, now: Millis, key: AttemptKey, end: End) {
+        let Some(out) = self.out.get(&key) else { return };
+        let (client, id) = (out.client, out.id.clone());
+        let mut answer = match end {
+            End::Lost(Progress::NotConnected | Progress::PartlyWritten) => {
+                return self.end(now, key, Outcome::ConnectFailed, None, false);
+            }
+            End::Lost(_) => return self.end(now, key, Outcome::Reset, None, false),
+            End::Answer(answer) => answer,
+        };
+        let Some(held) = self.held.get(&client) else { return };
+        if answer.unchanged && held.ask.holds.is_none() {
+            answer.outcome = Outcome::Error; // No copy was named that could be the one.
+        }
+        let served = answer.outcome == Outcome::Ok;
+        let fragile = held.fragile;
+        self.end(now, key, answer.outcome, Some(&answer), served);
+        if served {
+            let reply = if answer.unchanged {
+                Reply::Unchanged
+            } else if self.sheds(client.conn, answer.body.len()) {
+                self.counters.shed += 1;
+                // It has run: only where a repeat is harmless may it be called refused.
+                if fragile {
+                    Reply::Failed("no memory")
+                } else {
+                    Reply::Refused { hold_off_ms: None }
+                }
+            } else {
+                Reply::Served(answer.body)
+            };
+            self.answer(now, &id, reply);
+        }
+    }
+
+    /// Whether an answer of this size must be dropped to stay within the memory limit.
+    fn sheds(&self, conn: u64, bytes: usize) -> bool {
+        let (all, memory) = ((self.buffered_all + bytes) as f64, self.net.memory as f64);
+        let slow = self.buffered.get(&conn).is_some_and(|own| *own > SLOW_BYTES);
+        all > memory * if slow { SHED_SLOW } else { SHED_ALL }
+    }
+
+    fn notice(&mut self, now: Millis, notice: Notice, unix_ms: Millis) {
+        match notice.word {
+            None => {}
+            Some(Word::Purge { object, group, made_unix_ms }) => {
+                self.counters.purges += 1;
+                let object = object.as_deref().map(ObjectId::from);
+                let age_ms = (unix_ms - made_unix_ms).max(0.0);
+                self.events.push_back(Event::Purged { object, group, age_ms });
+            }
+            Some(Word::Pool { whole, machines }) => {
+                self.counters.lists += 1;
+                self.pool(now, whole, machines);
+            }
+        }
+    }
+
+    fn pool(&mut self, now: Millis, whole: bool, machines: Vec<Listed>) {
+        if whole {
+            for (name, member) in &mut self.members {
+                if !machines.iter().any(|listed| listed.name == name.as_str()) {
+                    member.phase = Phase::Deleted;
+                    self.effects.push(Effect::Retire { member: name.clone() });
+                }
+            }
+        }
+        let mut entries = Vec::with_capacity(machines.len());
+        for listed in machines {
+            let name = CacheId::from(listed.name.as_str());
+            let since = listed.since_unix_ms.map(|ms| ms - self.unix_offset);
+            let now_is = Member { address: listed.address, phase: listed.phase, since };
+            let was = self.members.insert(name.clone(), now_is);
+            if listed.phase != Phase::Serving {
+                self.effects.push(Effect::Retire { member: name.clone() });
+            } else if let (Some(at), Some(was)) = (since, was) {
+                // A machine that vanished and came back leaves old connections open and silent.
+                if was.since.is_none_or(|before| before < at) {
+                    self.effects.push(Effect::Reborn { member: name.clone(), at });
+                }
+            }
+            entries.push(ListEntry {
+                cache: name,
+                kind: listed.kind,
+                cell: listed.cell,
+                zone: listed.zone,
+                rating: listed.weight,
+                phase: listed.phase,
+                online_since: since,
+            });
+        }
+        let mode = match (whole, self.listed) {
+            (true, false) => ListMode::Held,
+            (true, true) => ListMode::Full,
+            (false, _) => ListMode::Changes,
+        };
+        self.listed = true;
+        self.events.push_back(Event::List { mode, entries });
+        self.settle(now);
+        // What waits in a queue for a machine that leaves, or would be filled from one, goes nowhere.
+        let serves = |name: &CacheId| self.members.get(name).is_some_and(|m| m.phase == Phase::Serving);
+        let unsent = self.out.iter().filter(|(_, out)| out.progress == Progress::NotConnected);
+        let pulled = unsent.filter(|(_, out)| !serves(&out.cache) || !serves(&out.source));
+        let pulled: Vec<AttemptKey> = pulled.map(|(key, _)| *key).collect();
+        pulled.into_iter().for_each(|key| self.pull(now, key));
+    }
+
+    fn pull(&mut self, now: Millis, key: AttemptKey) {
+        if self.out.get(&key).is_some_and(|out| out.progress == Progress::NotConnected) {
+            self.counters.attempt_pulled += 1;
+            self.stop(now, key, Outcome::Cancelled, Outcome::Moot, false);
+        }
+    }
+
+    /// How long after SIGTERM there is time to answer.
+    fn patience(&self) -> Millis {
+        STILL_COMING_MS + LONGEST_MS - BEFORE_KILL_MS
+    }
+
+    fn terminate(&mut self, now: Millis) {
+        if self.terminated.is_some() {
+            return;
+        }
+        self.terminated = Some(now);
+        self.at(now + STILL_COMING_MS, Due::StopListening);
+        self.at(now + self.patience(), Due::AnswerAll);
+    }
+
+    fn due(&mut self, now: Millis, due: Due) {
+        match due {
+            Due::Module(token) => self.events.push_back(Event::Timer(token)),
+            Due::Guard(client) => self.guard(now, client),
+            Due::Limit(key) => {
+                self.stop(now, key, Outcome::Timeout, Outcome::ConnectFailed, false);
+            }
+            Due::Unsent(key) => self.pull(now, key),
+            Due::StopListening => {
+                self.effects.push(Effect::StopListening);
+                self.at(now, Due::Exit);
+            }
+            Due::AnswerAll => {
+                let all: Vec<Client> = self.held.keys().copied().collect();
+                all.into_iter().for_each(|client| self.guard(now, client));
+            }
+            Due::Exit if self.held.is_empty() && !self.exited => {
+                self.exited = true;
+                self.effects.push(Effect::Exit);
+            }
+            Due::Exit => self.at(now + 5.0, Due::Exit),
+        }
+    }
+
+    /// A request's time is up: its attempts are, too, and if the module then has no answer, there is one.
+    fn guard(&mut self, now: Millis, client: Client) {
+        if !self.held.contains_key(&client) {
+            return;
+        }
+        self.stop_all(now, client, Outcome::Timeout, false);
+        self.settle(now);
+        if let Some(held) = self.held.get(&client) {
+            let id = held.id.clone();
+            self.counters.guarded += 1;
+            self.events.push_back(Event::Dropped { id: id.clone() });
+            self.answer(now, &id, Reply::Failed("out of time"));
+        }
+    }
+}
