--- a/src/policy.rs
+++ b/src/policy.rs
@@ -276,6 +276,8 @@
             }
             Event::Purged { object, group, age_ms } => {
                 let made = now - age_ms.max(0.0);
+                // An object's purge may come without its group: the object alone tells.
+                let group = if object.is_some() { 0 } else { group };
                 let at = self.purged.entry((group, object)).or_insert(made);
                 *at = at.max(made);
             }
@@ -549,8 +551,9 @@
     fn max_age(&self, now: Millis, pending: &Pending, class: &ClassSettings) -> Option<Millis> {
         let asked = &pending.asked;
         let stale = !pending.attempts.is_empty() || recent(self.unfilled, now) > Some(DOUBT);
-        let purged = |object| self.purged.get(&(asked.group, object)).copied().unwrap_or(f64::MIN);
-        let purge = purged(None).max(purged(asked.object.clone()));
+        let purged = |group, object| self.purged.get(&(group, object)).copied().unwrap_or(f64::MIN);
+        let own = asked.object.clone().map_or(f64::MIN, |object| purged(0, Some(object)));
+        let purge = purged(asked.group, None).max(own);
         let bound = (purge > f64::MIN).then(|| (now - purge - PURGE_SLACK_MS).max(1.0));
         let usual = class.fresh_ms.map(|fresh| if stale { fresh + class.stale_ms } else { fresh });
         bound.into_iter().chain(usual).reduce(f64::min)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -49,6 +49,16 @@
     assert_eq!(bound(&driver.ask(READ, "song")), None);
 }
 
+#[test]
+fn a_purge_of_an_object_holds_whatever_group_came_with_it() {
+    // The notice board names the object alone.
+    let mut driver = Driver::usual();
+    driver.now += 1000.0;
+    driver.send(Event::Purged { object: Some("song".into()), group: 0, age_ms: 10.0 });
+    assert!(fetch(&driver.ask(READ, "song")).max_age_ms.is_some_and(|age| age < 10.0));
+    assert_eq!(fetch(&driver.ask(READ, "tune")).max_age_ms, None);
+}
+
 #[test]
 fn a_cold_cache_and_a_cold_parent_get_a_budget() {
     let mut list = fleet();
