Check connections against a model of their states, and bound what comes in

quickcheck, seeded, drives a client connection and the connections to one machine with random steps. Found by the model: an answer under an id whose request had not left whole was taken (src/back.rs, Link::frame), after which its frame would have opened the id a second time. It counts as unknown now. Found by reading: an attempt's progress waited behind other inputs, so one given up by those could have passed for unsent (src/runtime.rs, write_link); requests that come in slowly had no memory bound (Conn::holding).

--- a/src/back.rs
+++ b/src/back.rs
@@ -326,7 +326,12 @@
         queued
     }
 
-    /// Whether a connection has not been dialled yet as far as the caller is concerned: it isn't up.
+    /// The connection that an attempt is on.
+    pub fn carrier(&self, attempt: AttemptKey) -> Option<LinkKey> {
+        self.on.get(&attempt).map(|(key, _)| *key)
+    }
+
+    /// Where a connection leads.
     pub fn address(&self, key: LinkKey) -> Option<SocketAddr> {
         self.links.get(&key).map(|link| link.address)
     }
@@ -366,7 +371,9 @@
     fn frame(&mut self, frame: &[Vec<u8>]) -> Result<Heard, Fault> {
         let [id, word, rest @ ..] = frame else { return Err(Fault("an answer is cut short")) };
         let id = std::str::from_utf8(id).map_err(|_| Fault("an id can't be read"))?;
-        let Some((what, _)) = self.open.get(id).copied() else {
+        // An answer to what has not left whole is none: its frame would go on to open the id a second time.
+        let asked = self.open.get(id).filter(|(_, progress)| *progress == Progress::WrittenWhole);
+        let Some((what, _)) = asked.copied() else {
             let late = self.stopped.iter().position(|stopped| stopped == id);
             return Ok(late.and_then(|at| self.stopped.remove(at)).map_or(Heard::Unknown, |_| Heard::Late));
         };
--- a/src/front.rs
+++ b/src/front.rs
@@ -47,6 +47,7 @@
     written: usize,
     unwritten: usize,
     taken_back: usize,
+    holding: usize,
     closing: bool,
 }
 
@@ -77,7 +78,8 @@
         let Some(open) = self.open.get_mut(&request) else { return Ok(None) };
         match what {
             kind::ABORT => {
-                let serial = open.serial;
+                let (serial, held) = (open.serial, open.params.len() + open.body.len());
+                self.holding -= if open.asked { 0 } else { held };
                 self.open.remove(&request);
                 Ok(Some(Heard::Aborted(serial)))
             }
@@ -91,6 +93,7 @@
                     return Err(Fault::Malformed("too many parameters"));
                 }
                 open.params.extend_from_slice(&content);
+                self.holding += content.len();
                 Ok(None)
             }
             kind::STDIN if !open.params_over || open.asked => Err(Fault::Malformed("a body out of place")),
@@ -98,11 +101,13 @@
                 open.too_big |= open.body.len() + content.len() > MAX_BODY;
                 if !open.too_big {
                     open.body.extend_from_slice(&content);
+                    self.holding += content.len();
                 }
                 Ok(None)
             }
             kind::STDIN => {
                 open.asked = true;
+                self.holding -= open.params.len() + open.body.len();
                 let pairs = fastcgi::pairs(&open.params)?;
                 let serial = open.serial;
                 if find(&pairs, "SCRIPT_NAME") == Some("/alive") {
@@ -218,6 +223,11 @@
         self.taken_back += bytes;
     }
 
+    /// Bytes of requests that are still coming in.
+    pub fn holding(&self) -> usize {
+        self.holding
+    }
+
     /// Bytes that were taken back since the last call.
     pub fn taken_back(&mut self) -> usize {
         std::mem::take(&mut self.taken_back)
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -26,6 +26,8 @@
 /// Answers on their way to clients: part of the memory limit from which slow clients are shed, then all.
 const SHED_SLOW: f64 = 0.25;
 const SHED_ALL: f64 = 0.45;
+/// Part of the memory limit that bodies of open requests may take.
+const HELD_BODIES: f64 = 0.15;
 /// A client connection with more than that unsent is slow.
 const SLOW_BYTES: usize = 256 * 1024;
 /// Part of the descriptors for clients (a third is promised) and for machines; the rest is reserved.
@@ -314,6 +316,8 @@
     next_due: u64,
     buffered: HashMap<u64, usize>,
     buffered_all: usize,
+    /// Bytes of the bodies of requests that are held.
+    held_bytes: usize,
     terminated: Option<Millis>,
     exited: bool,
     events: VecDeque<Event>,
@@ -342,6 +346,7 @@
             next_due: 0,
             buffered: HashMap::new(),
             buffered_all: 0,
+            held_bytes: 0,
             terminated: None,
             exited: false,
             events: VecDeque::new(),
@@ -478,7 +483,8 @@
         if let Some(kill) = self.terminated.map(|at| at + self.patience()) {
             guard = guard.min(kill);
         }
-        if self.held.len() >= self.net.max_open || guard <= now {
+        let no_room = self.held_bytes + ask.body.len() > (self.net.memory as f64 * HELD_BODIES) as usize;
+        if self.held.len() >= self.net.max_open || no_room || guard <= now {
             self.counters.shed += 1;
             self.counters.refused += 1;
             let reply = Reply::Refused { hold_off_ms: None };
@@ -497,23 +503,31 @@
             group: ask.group,
         }));
         self.clients.insert(id.clone(), client);
+        self.held_bytes += ask.body.len();
         self.held.insert(client, Held { id, ask: ask.into(), fragile, attempts: 0 });
         self.at(guard, Due::Guard(client));
     }
 
     /// Ends a request without an answer: its client is gone.
     fn aborted(&mut self, now: Millis, client: Client) {
-        let Some(held) = self.held.remove(&client) else { return };
+        let Some(held) = self.release(client) else { return };
         self.counters.aborted += 1;
         self.clients.remove(&held.id);
         self.events.push_back(Event::Dropped { id: held.id });
         self.stop_all(now, client, Outcome::Cancelled, true);
     }
 
+    /// Nothing more is owed for a request.
+    fn release(&mut self, client: Client) -> Option<Held> {
+        let held = self.held.remove(&client)?;
+        self.held_bytes -= held.ask.body.len();
+        Some(held)
+    }
+
     /// Gives a final answer; later ones for the same request find nothing.
     fn answer(&mut self, now: Millis, id: &RequestId, reply: Reply) {
         let Some(client) = self.clients.remove(id) else { return };
-        self.held.remove(&client);
+        self.release(client);
         match &reply {
             Reply::Served(body) => {
                 *self.buffered.entry(client.conn).or_default() += body.len();
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -28,6 +28,8 @@
 /// At the end: how long answers may take to leave, and how long what has left may take to arrive.
 const LAST_WRITES_MS: Millis = 250.0;
 const LAST_READS_MS: Millis = 60.0;
+/// Part of the memory limit that requests which are still coming in may take.
+const COMING_IN: f64 = 0.15;
 /// Longest sleep of the loop.
 const IDLE_MS: Millis = 1000.0;
 
@@ -70,6 +72,9 @@
     next_front: u64,
     links: Links,
     link_socks: BTreeMap<LinkKey, Sock>,
+    /// Bytes of requests that are still coming in, and the most there may be.
+    coming: usize,
+    most_coming: usize,
     board_at: SocketAddr,
     board: Option<(Sock, Vec<u8>)>,
     follower: Follower,
@@ -93,11 +98,13 @@
     let noted =
         |event: calloop::signals::Event, (): &mut (), state: &mut Runtime| state.signals.push(event.signal());
     handle.insert_source(signals, noted).map_err(|e| format!("signals: {e}"))?;
+    std::panic::set_hook(Box::new(|panic| say!("{panic}")));
     let start = Instant::now();
     let reducer = Reducer::new(config.settings, config.net.clone(), config.seed, 0.0, unix_ms());
     let listener = TcpListener::bind(config.listen).map_err(io("listen"))?;
     listener.set_nonblocking(true).map_err(io("listen"))?;
     let listener = Rc::new(listener);
+    let listens = listener.local_addr().map_err(io("listen"))?;
     let token =
         register(&handle, listener.clone(), Source::Listener, Interest::READ).map_err(io("listen"))?;
     let net = &config.net;
@@ -115,6 +122,8 @@
         next_front: 0,
         links,
         link_socks: BTreeMap::new(),
+        coming: 0,
+        most_coming: (config.net.memory as f64 * COMING_IN) as usize,
         board_at: config.board,
         board: None,
         follower: Follower::new(config.rev),
@@ -125,7 +134,7 @@
     let unix_ms = unix_ms();
     state.inbox.extend(config.known.into_iter().map(|notice| Input::Notice { notice, unix_ms }));
     state.work();
-    say!("{} listens on {}, the board is at {}", config.name, config.listen, config.board);
+    say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
     while !state.over() {
         let wait = Duration::from_secs_f64((state.wake() - state.now()).clamp(0.0, IDLE_MS) / 1000.0);
         match events.dispatch(Some(wait), &mut state) {
@@ -449,7 +458,8 @@
             match sock.write(bytes) {
                 Ok(bytes) => {
                     if let Some((attempt, progress)) = self.links.wrote(now, key, bytes) {
-                        self.inbox.push_back(Input::Progressed { attempt, progress });
+                        // Before all else that waits: an attempt given up by that must not pass for unsent.
+                        self.inbox.push_front(Input::Progressed { attempt, progress });
                     }
                 }
                 Err(Io::Over(why)) => return Some(why),
@@ -540,7 +550,14 @@
                 Err(_) => return false,
             };
             read += bytes;
+            let before = conn.holding();
             let heard = conn.receive(&self.buffer[..bytes]);
+            self.coming = self.coming + conn.holding() - before;
+            if self.coming > self.most_coming {
+                self.reducer.counters.client_faults += 1;
+                say!("no memory for what a client sends");
+                return true;
+            }
             let bytes = conn.taken_back();
             if bytes > 0 {
                 self.inbox.push_back(Input::Flushed { conn: key, bytes });
@@ -600,7 +617,8 @@
     }
 
     fn close_front(&mut self, key: u64) {
-        if let Some((sock, ..)) = self.fronts.remove(&key) {
+        if let Some((sock, conn, _)) = self.fronts.remove(&key) {
+            self.coming -= conn.holding();
             self.handle.remove(sock.token);
             self.inbox.push_back(Input::Closed { conn: key });
         }
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,463 @@
+//! Models of a connection's states, against which random steps are checked. Seeded: each run takes the same.
+
+use frostturn::api::*;
+use frostturn::back::{Heard as Back, Links};
+use frostturn::fastcgi::{self, kind, Decoder, Record};
+use frostturn::front::{Conn, Heard};
+use frostturn::reducer::{Ask, Call, Progress, Reply};
+use frostturn::resp;
+use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+fn check(property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(120, 7)).tests(200).quickcheck(property);
+}
+
+/// A client's steps on one connection, and the router's.
+#[derive(Clone, Debug)]
+enum Front {
+    Ask { request: u16, body: usize, cut: usize },
+    Half { request: u16 },
+    Abort { request: u16 },
+    Answer { which: usize, body: usize },
+    Write { most: usize },
+}
+
+impl Arbitrary for Front {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (request, which) = (u16::arbitrary(g) % 40 + 1, usize::arbitrary(g) % 40);
+        let body = *g.choose(&[0, 1, 7, 900, 65_535, 240_000]).unwrap_or(&0);
+        match u8::arbitrary(g) % 9 {
+            0..=2 => Self::Ask { request, body, cut: usize::arbitrary(g) % 4000 + 1 },
+            3 => Self::Half { request },
+            4 => Self::Abort { request },
+            5 | 6 => Self::Answer { which, body },
+            _ => Self::Write { most: usize::arbitrary(g) % 100_000 },
+        }
+    }
+}
+
+fn begin(request: u16, flags: u8) -> Vec<u8> {
+    let mut out = Vec::new();
+    fastcgi::record(&mut out, kind::BEGIN, request, &[0, 1, flags, 0, 0, 0, 0, 0]);
+    out
+}
+
+fn asking(request: u16, path: &str, id: &str, body: &[u8]) -> Vec<u8> {
+    let (mut out, mut params) = (begin(request, 1), Vec::new());
+    let fields = [("SCRIPT_NAME", path), ("HTTP_X_REQUEST_ID", id), ("HTTP_X_TIMEOUT_MS", "1500")];
+    for (name, value) in fields.into_iter().chain([("HTTP_X_OBJECT", "7f3a"), ("HTTP_X_KNOWN", "\"4be0\"")]) {
+        fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
+    }
+    // Split where it hurts: within a pair.
+    let (first, second) = params.split_at(params.len() / 3);
+    for (what, content) in [(kind::PARAMS, first), (kind::PARAMS, second), (kind::PARAMS, b"")] {
+        fastcgi::record(&mut out, what, request, content);
+    }
+    body.chunks(40_000).for_each(|part| fastcgi::record(&mut out, kind::STDIN, request, part));
+    fastcgi::record(&mut out, kind::STDIN, request, b"");
+    out
+}
+
+/// What a client makes of the records that it gets.
+#[derive(Default)]
+struct Client {
+    decoder: Decoder,
+    bodies: BTreeMap<u16, Vec<u8>>,
+    ended: Vec<(u16, u8, Vec<u8>)>,
+}
+
+impl Client {
+    fn take(&mut self, bytes: &[u8]) {
+        self.decoder.feed(bytes);
+        while let Some(Record { kind: what, request, content }) =
+            self.decoder.next_record().expect("readable")
+        {
+            match what {
+                kind::STDOUT => self.bodies.entry(request).or_default().extend(content),
+                kind::END => {
+                    let body = self.bodies.remove(&request).unwrap_or_default();
+                    self.ended.push((request, content[4], body));
+                }
+                other => panic!("a record of kind {other}"),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_client_connection_answers_each_open_request_once_and_whole() {
+    fn property(steps: Vec<Front>) -> bool {
+        let (mut conn, mut client) = (Conn::default(), Client::default());
+        // The model: open requests and, for whole ones, their number here; answers owed to the client.
+        let mut open: BTreeMap<u16, Option<u64>> = BTreeMap::new();
+        let mut owed: Vec<(u16, u8, usize)> = Vec::new();
+        // Requests whose answer the client has not seen to its end: their numbers aren't used again yet.
+        let mut unseen: BTreeSet<u16> = BTreeSet::new();
+        // Of these, those aborted: what has begun to leave may still come, and is thrown away.
+        let mut excused: BTreeSet<u16> = BTreeSet::new();
+        for step in steps {
+            match step {
+                Front::Ask { request, .. } | Front::Half { request }
+                    if open.contains_key(&request) || unseen.contains(&request) => {}
+                Front::Half { request } => {
+                    let full = open.len() >= 32;
+                    let heard = conn.receive(&begin(request, 1)).expect("well-formed");
+                    assert_eq!(heard.len(), usize::from(!full));
+                    if full {
+                        owed.push((request, 2, 0));
+                        unseen.insert(request);
+                    } else {
+                        open.insert(request, None);
+                    }
+                }
+                Front::Ask { request, body, cut } => {
+                    let sent = asking(request, "/ops/page", "9b1f", &vec![7; body]);
+                    let full = open.len() >= 32;
+                    let mut heard = Vec::new();
+                    for part in sent.chunks(cut) {
+                        heard.extend(conn.receive(part).expect("well-formed"));
+                    }
+                    if full {
+                        assert_eq!(heard, []);
+                        owed.push((request, 2, 0));
+                        unseen.insert(request);
+                        continue;
+                    }
+                    let [Heard::Begun(begun), Heard::Asked(serial, Ok(ask))] = &heard[..] else {
+                        panic!("{heard:?}")
+                    };
+                    assert_eq!((begun, ask.body.len(), ask.timeout_ms), (serial, body, 1500.0));
+                    assert_eq!((ask.class.as_str(), ask.holds.as_deref()), ("page", Some("4be0")));
+                    open.insert(request, Some(*serial));
+                }
+                Front::Abort { request } => {
+                    let mut out = Vec::new();
+                    fastcgi::record(&mut out, kind::ABORT, request, b"");
+                    let heard = conn.receive(&out).expect("well-formed");
+                    assert_eq!(heard.len(), usize::from(open.remove(&request).is_some()));
+                    if unseen.contains(&request) {
+                        excused.insert(request);
+                    }
+                }
+                Front::Answer { which, body } => {
+                    let whole: Vec<_> = open.iter().filter_map(|(id, s)| s.map(|s| (*id, s))).collect();
+                    let Some((request, serial)) = whole.get(which % whole.len().max(1)).copied() else {
+                        continue;
+                    };
+                    let reply = Reply::Served(vec![9; body]);
+                    assert!(conn.answer(serial, &reply) && !conn.answer(serial, &reply), "once");
+                    open.remove(&request);
+                    owed.push((request, 0, body));
+                    unseen.insert(request);
+                }
+                Front::Write { most } => {
+                    let Some(bytes) = conn.output() else { continue };
+                    let bytes = bytes[..bytes.len().min(most)].to_vec();
+                    conn.wrote(bytes.len());
+                    client.take(&bytes);
+                    let seen = |request: &u16| {
+                        let ended = client.ended.iter().filter(|ended| ended.0 == *request).count();
+                        ended == owed.iter().filter(|owed| owed.0 == *request).count()
+                    };
+                    unseen.retain(|request| excused.contains(request) || !seen(request));
+                }
+            }
+        }
+        while let Some(bytes) = conn.output().map(<[u8]>::to_vec) {
+            conn.wrote(bytes.len());
+            client.take(&bytes);
+        }
+        let heads = |ended: &(u16, u8, Vec<u8>)| {
+            let text = String::from_utf8_lossy(&ended.2);
+            let body = text.split_once("\r\n\r\n").map_or(0, |(_, body)| body.len());
+            (ended.0, ended.1, body)
+        };
+        owed.retain(|(request, ..)| !excused.contains(request));
+        client.ended.retain(|(request, ..)| !excused.contains(request));
+        assert_eq!(client.ended.iter().map(heads).collect::<Vec<_>>(), owed, "in order, whole, once");
+        conn.unwritten() == 0
+    }
+    check(property as fn(Vec<Front>) -> bool);
+}
+
+#[test]
+fn an_answer_that_was_aborted_is_taken_back_but_for_a_record_that_has_begun() {
+    for written in [0, 5, 40_000] {
+        let mut conn = Conn::default();
+        for request in [1, 2] {
+            let heard = conn.receive(&asking(request, "/ops/page", "a", b"")).expect("well-formed");
+            assert_eq!(heard.len(), 2);
+        }
+        assert!(conn.answer(1, &Reply::Served(vec![1; 200_000])) && conn.answer(2, &Reply::Unchanged));
+        let (mut left, mut client) = (written, Client::default());
+        while left > 0 {
+            let bytes = conn.output().expect("some are left");
+            let bytes = bytes[..bytes.len().min(left)].to_vec();
+            left -= bytes.len();
+            conn.wrote(bytes.len());
+            client.take(&bytes);
+        }
+        let mut out = Vec::new();
+        fastcgi::record(&mut out, kind::ABORT, 1, b"");
+        assert_eq!(conn.receive(&out), Ok(vec![]));
+        assert!(conn.taken_back() > 100_000);
+        while let Some(bytes) = conn.output().map(<[u8]>::to_vec) {
+            conn.wrote(bytes.len());
+            client.take(&bytes);
+        }
+        assert_eq!(
+            client.ended.iter().map(|ended| ended.0).collect::<Vec<_>>(),
+            [2],
+            "no answer after an abort"
+        );
+    }
+}
+
+#[test]
+fn malformed_records_are_faults_and_bad_fields_are_not() {
+    let whole = |bytes: &[u8]| Conn::default().receive(bytes);
+    assert!(whole(&[9, 1, 0, 1, 0, 0, 0, 0]).is_err(), "another version");
+    assert!(whole(&[begin(3, 1), begin(3, 1)].concat()).is_err(), "begun twice");
+    let mut impossible = begin(3, 1);
+    fastcgi::record(&mut impossible, kind::PARAMS, 3, &[200, 255, 255, 255, 1, b'x']);
+    fastcgi::record(&mut impossible, kind::PARAMS, 3, b"");
+    fastcgi::record(&mut impossible, kind::STDIN, 3, b"");
+    assert!(whole(&impossible).is_err(), "a length beyond the parameters");
+    for (path, id) in [("/ops/page", ""), ("/ops/page", "a,b=c"), ("/elsewhere", "a")] {
+        let heard = whole(&asking(3, path, id, b"")).expect("the connection goes on");
+        assert!(matches!(heard[..], [Heard::Begun(_), Heard::Asked(_, Err(_))]), "{heard:?}");
+    }
+    let heard = whole(&asking(3, "/alive", "", b"")).expect("well-formed");
+    assert!(matches!(heard[..], [_, Heard::Health(1)]));
+    let noise = |bytes: Vec<u8>| whole_survives(&bytes);
+    check(noise as fn(Vec<u8>) -> bool);
+}
+
+fn whole_survives(bytes: &[u8]) -> bool {
+    let _ = Conn::default().receive(bytes);
+    let _ = Conn::default().receive(&[begin(1, 1), vec![1, 4, 0, 1, 0, 9, 0, 0], bytes.to_vec()].concat());
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let (key, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
+    links.up(0.0, key);
+    let _ = links.receive(0.0, key, bytes);
+    let _ = links.receive(0.0, key, &[b"*2\r\n$1\r\na\r\n".to_vec(), bytes.to_vec()].concat());
+    true
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn links() -> Links {
+    Links::new(400.0, 30_000.0, 100, 40)
+}
+
+fn call(id: &str) -> Call {
+    let ask = Ask { id: id.into(), class: "page".into(), object: Some("7f3a".into()), ..Ask::default() };
+    let fetch = Fetch {
+        id: id.into(),
+        cache: "m".into(),
+        join: true,
+        renew: true,
+        held_only: false,
+        timeout_ms: 900.2,
+        source: "p".into(),
+        max_age_ms: Some(15.9),
+        keep: Keep::Middle,
+    };
+    Call { ask: ask.into(), fetch }
+}
+
+fn reply(id: &str, word: &str) -> Vec<u8> {
+    let fields = b"tell=fetched_root,took=9.5,meter=util:0.61;x1:nan";
+    resp::frame(&[id.as_bytes(), word.as_bytes(), fields, b"bytes\r\n"])
+}
+
+#[test]
+fn a_request_and_its_answer_are_worded_as_the_protocol_says() {
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let (key, new) = links.send(0.0, 5, &member, address(1), &call("a")).expect("room");
+    assert!(new && links.output(key).is_none(), "not before it is up");
+    links.up(0.0, key);
+    let fields = "cls=page,item=7f3a,limit=901,fetch=p,retain=2,newer=15,handle=coalesce+freshen";
+    let bytes = resp::frame(&[b"REQ", b"a", fields.as_bytes(), b""]);
+    assert_eq!(links.output(key), Some(&bytes[..]));
+    assert_eq!(links.wrote(0.0, key, 4), Some((5, Progress::PartlyWritten)));
+    assert_eq!(links.wrote(0.0, key, bytes.len() - 4), Some((5, Progress::WrittenWhole)));
+    // One byte at a time.
+    let mut heard = Vec::new();
+    for byte in reply("a", "DONE") {
+        let (one, fault) = links.receive(9.0, key, &[byte]);
+        assert_eq!(fault, None);
+        heard.extend(one);
+    }
+    let [Back::Answer(5, answer)] = &heard[..] else { panic!("{heard:?}") };
+    assert_eq!((answer.outcome, answer.note), (Outcome::Ok, Some(Note::FilledFromOrigin)));
+    assert_eq!((answer.source_wait_ms, answer.body.as_slice()), (Some(9.5), &b"bytes\r\n"[..]));
+    assert_eq!((answer.report.util, answer.report.link), (Some(0.61), None));
+    assert_eq!(links.receive(9.0, key, &reply("a", "DONE")).0, [Back::Unknown], "nobody waits for it");
+    assert!(links.receive(9.0, key, b"*1\r\n$x\r\n").1.is_some());
+}
+
+/// Steps on the connections to one machine.
+#[derive(Clone, Debug)]
+enum Step {
+    Send { id: u8 },
+    Stop { which: usize },
+    Up { which: usize },
+    Write { which: usize, most: usize },
+    Answer { which: usize, word: usize },
+    Down { which: usize },
+    Wait,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let which = usize::arbitrary(g) % 30;
+        match u8::arbitrary(g) % 12 {
+            0..=3 => Self::Send { id: u8::arbitrary(g) % 6 },
+            4 => Self::Stop { which },
+            5 | 6 => Self::Up { which },
+            7 | 8 => Self::Write { which, most: usize::arbitrary(g) % 200 },
+            9 => Self::Answer { which, word: usize::arbitrary(g) % 6 },
+            10 => Self::Down { which },
+            _ => Self::Wait,
+        }
+    }
+}
+
+#[test]
+fn an_attempt_ends_once_and_its_progress_is_what_was_written() {
+    fn property(steps: Vec<Step>) -> bool {
+        let (mut links, member, mut now) = (links(), CacheId::from("m"), 0.0);
+        // The model: attempts out, their id and connection; what each connection wrote; the ids it gave up.
+        let mut out: BTreeMap<u64, (String, u64)> = BTreeMap::new();
+        let mut come: BTreeMap<u64, Progress> = BTreeMap::new();
+        let mut wrote: BTreeMap<u64, usize> = BTreeMap::new();
+        let mut next = 0;
+        for step in steps {
+            let keys: Vec<u64> = wrote.keys().copied().collect();
+            let pick = |which: usize| keys.get(which % keys.len().max(1)).copied();
+            match step {
+                Step::Send { id } => {
+                    next += 1;
+                    let id = format!("id-{id}");
+                    let Some((key, new)) = links.send(now, next, &member, address(1), &call(&id)) else {
+                        continue;
+                    };
+                    assert_eq!(new, !wrote.contains_key(&key));
+                    // An id is never on a connection on which its last answer might still come.
+                    assert!(out.values().all(|other| *other != (id.clone(), key)));
+                    wrote.entry(key).or_default();
+                    out.insert(next, (id, key));
+                }
+                Step::Stop { which } => {
+                    let Some(attempt) = out.keys().nth(which % out.len().max(1)).copied() else { continue };
+                    let key = out.remove(&attempt).map(|(_, key)| key);
+                    assert_eq!(links.stop(now, attempt), key);
+                    assert_eq!(links.stop(now, attempt), None, "once");
+                }
+                Step::Up { which } => pick(which).into_iter().for_each(|key| links.up(now, key)),
+                Step::Write { which, most } => {
+                    let Some(key) = pick(which) else { continue };
+                    let Some(bytes) = links.output(key) else { continue };
+                    let bytes = bytes[..bytes.len().min(most.max(1))].to_vec();
+                    *wrote.entry(key).or_default() += bytes.len();
+                    if let Some((attempt, progress)) = links.wrote(now, key, bytes.len()) {
+                        assert!(progress >= Progress::PartlyWritten);
+                        assert_eq!(out[&attempt].1, key, "no byte of one that was given up begins to leave");
+                        assert!(come.insert(attempt, progress) <= Some(progress));
+                    }
+                }
+                Step::Answer { which, word } => {
+                    let Some(attempt) = out.keys().nth(which % out.len().max(1)).copied() else { continue };
+                    let (id, key) = out[&attempt].clone();
+                    let word = ["DONE", "KEEP", "LACK", "WAIT", "BROKE", "HUH"][word];
+                    let (heard, fault) = links.receive(now, key, &reply(&id, word));
+                    assert_eq!(fault, None);
+                    match &heard[..] {
+                        [Back::Answer(of, _)] if *of == attempt => {
+                            assert_eq!(come.get(&attempt), Some(&Progress::WrittenWhole));
+                            out.remove(&attempt);
+                        }
+                        // Nothing can be answered that has not left whole.
+                        [Back::Unknown] => {
+                            assert!(word == "HUH" || come.get(&attempt) != Some(&Progress::WrittenWhole))
+                        }
+                        other => panic!("{other:?}"),
+                    }
+                }
+                Step::Down { which } => {
+                    let Some(key) = pick(which) else { continue };
+                    let was_up = links.is_up(key);
+                    let ended = links.down(now, key);
+                    let lost: BTreeSet<u64> = ended.lost.iter().map(|(attempt, _)| *attempt).collect();
+                    for (attempt, progress) in ended.lost {
+                        let (_, on) = out.remove(&attempt).expect("it was out");
+                        assert_eq!(on, key);
+                        assert_eq!(progress, come.get(&attempt).copied().unwrap_or(Progress::NotConnected));
+                    }
+                    let moved: Vec<u64> =
+                        out.iter().filter(|(_, (_, on))| *on == key).map(|(at, _)| *at).collect();
+                    assert!(moved.iter().all(|attempt| !lost.contains(attempt)));
+                    // What moves on had not begun to leave; it goes to one that isn't up yet.
+                    assert!(moved.is_empty() || (was_up && ended.moved.is_some_and(|to| !links.is_up(to))));
+                    for attempt in moved {
+                        let (id, _) = out[&attempt].clone();
+                        let to = links.carrier(attempt).expect("it is still out");
+                        wrote.entry(to).or_default();
+                        out.insert(attempt, (id, to));
+                    }
+                    wrote.remove(&key);
+                }
+                Step::Wait => now += 200.0,
+            }
+        }
+        out.iter().all(|(attempt, (_, key))| links.carrier(*attempt) == Some(*key))
+    }
+    check(property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_mute_connection_gets_nothing_more_and_a_sound_clears_it() {
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let (first, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
+    links.up(0.0, first);
+    let bytes = links.output(first).map_or(0, <[u8]>::len);
+    links.wrote(0.0, first, bytes);
+    assert_eq!(links.send(300.0, 2, &member, address(1), &call("b")), Some((first, false)));
+    let (second, new) = links.send(900.0, 3, &member, address(1), &call("c")).expect("room");
+    assert!(new && second != first, "its machine may have vanished");
+    links.receive(950.0, first, &reply("a", "LACK"));
+    assert_eq!(links.send(960.0, 4, &member, address(1), &call("d")), Some((first, false)));
+    // Nor does one take the id again that it has given up: the old answer could come yet.
+    let bytes = links.output(first).map_or(0, <[u8]>::len);
+    links.wrote(960.0, first, bytes);
+    links.stop(970.0, 2);
+    assert_ne!(links.send(980.0, 5, &member, address(1), &call("b")).map(|(key, _)| key), Some(first));
+    assert_eq!(links.receive(990.0, first, &reply("b", "DONE")).0, [Back::Late]);
+}
+
+#[test]
+fn connections_end_when_idle_retired_or_not_up_in_time() {
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let (key, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
+    assert_eq!((links.expired(399.0), links.expired(400.0)), (vec![], vec![key]));
+    links.up(10.0, key);
+    assert!(links.expired(60_000.0).is_empty(), "it carries something");
+    links.stop(50.0, 1);
+    assert_eq!(
+        (links.expired(23_000.0), links.expired(25_000.0)),
+        (vec![], vec![key]),
+        "before the machine's time"
+    );
+    // Addresses are used again: another name, or another address, never shares a connection.
+    let other = CacheId::from("n");
+    assert!(links.send(60.0, 2, &other, address(1), &call("a")).is_some_and(|(_, new)| new));
+    assert!(links.send(60.0, 3, &member, address(2), &call("b")).is_some_and(|(_, new)| new));
+    links.retire(&member);
+    assert!(links.expired(70.0).contains(&key));
+    assert_eq!(links.older(&other, 61.0).len(), 1);
+}
