--- a/src/board.rs
+++ b/src/board.rs
@@ -165,7 +165,8 @@
         }
         let Some((chunk, after)) = rest[start..].split_at_checked(size as usize) else { return Ok(None) };
         if size == 0 {
-            return Ok(Some(body));
+            // Its empty line belongs to it: left over, it would stand before the next answer.
+            return Ok(rest[start..].starts_with(b"\r\n").then_some(body));
         }
         body.extend_from_slice(chunk);
         match after.strip_prefix(b"\r\n") {
--- /dev/null
+++ b/tests/reducer.rs
@@ -0,0 +1,373 @@
+//! The reducer on made-up time: one final answer each, in time, and true reports to the module.
+
+mod common;
+
+use common::{entry, settings, START_MS};
+use frostturn::api::*;
+use frostturn::board::{Listed, Notice, Word};
+use frostturn::config::Net;
+use frostturn::reducer::*;
+use std::collections::BTreeMap;
+
+/// The Unix time at [`START_MS`].
+const UNIX_MS: Millis = 1.7e12;
+
+struct Rig {
+    reducer: Reducer,
+    now: Millis,
+    serial: u64,
+    rev: u64,
+}
+
+fn listed(name: &str, kind: &str, zone: &str, phase: Phase, since_unix_ms: Option<Millis>) -> Listed {
+    let entry = entry(name, kind, zone);
+    let address = ([127, 0, 0, 1], 7000 + name.len() as u16).into();
+    let (name, cell, weight) = (name.to_owned(), entry.cell, entry.rating);
+    Listed { name, address, zone: entry.zone, kind: entry.kind, cell, weight, phase, since_unix_ms }
+}
+
+fn net() -> Net {
+    Net {
+        dial_timeout_ms: 400.0,
+        idle_ms: 30_000.0,
+        streams: 100,
+        max_open: 50,
+        memory: 4_000_000,
+        sockets: 1024,
+    }
+}
+
+impl Rig {
+    fn new() -> Self {
+        let reducer = Reducer::new(settings(), net(), 1, START_MS, UNIX_MS);
+        let mut rig = Self { reducer, now: START_MS, serial: 0, rev: 0 };
+        assert!(!rig.reducer.ready(), "nothing to serve from");
+        let edges = ["e1", "e2", "e3", "e4"].map(|name| ("edge", "east", name));
+        let rest = [("parent", "hub", "p1"), ("parent", "hub", "p2"), ("origin", "hub", "o1")];
+        let all = edges.into_iter().chain(rest);
+        let machines = all.map(|(kind, zone, name)| listed(name, kind, zone, Phase::Serving, None)).collect();
+        rig.word(Word::Pool { whole: true, machines });
+        assert!(rig.reducer.ready());
+        rig
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Effect> {
+        self.reducer.step(self.now, input)
+    }
+
+    fn word(&mut self, word: Word) -> Vec<Effect> {
+        self.rev += 1;
+        let notice = Notice { rev: self.rev, word: Some(word) };
+        let unix_ms = UNIX_MS + self.now - START_MS;
+        self.step(Input::Notice { notice, unix_ms })
+    }
+
+    fn client(&self) -> Client {
+        Client { conn: 1, serial: self.serial }
+    }
+
+    fn ask(&mut self, class: &str, timeout_ms: Millis) -> Vec<Effect> {
+        self.serial += 1;
+        let (id, class) = (format!("c{}", self.serial), class.to_owned());
+        let ask =
+            Ask { id, class, timeout_ms, object: Some("song".into()), size_kb: Some(10.0), ..Ask::default() };
+        self.step(Input::Asked { client: self.client(), ask: Ok(ask), age_ms: 0.0 })
+    }
+
+    fn lost(&mut self, attempt: AttemptKey, progress: Progress) -> Vec<Effect> {
+        self.step(Input::Ended { attempt, end: End::Lost(progress) })
+    }
+
+    fn answered(
+        &mut self,
+        attempt: AttemptKey,
+        outcome: Outcome,
+        body: usize,
+        unchanged: bool,
+    ) -> Vec<Effect> {
+        let (note, source_wait_ms, report) = (None, None, LoadReport::default());
+        let answer = Answer { outcome, body: vec![1; body], unchanged, note, source_wait_ms, report };
+        self.step(Input::Ended { attempt, end: End::Answer(answer) })
+    }
+
+    /// Lets time pass in steps of a millisecond.
+    fn wait(&mut self, span: Millis) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut effects = Vec::new();
+        while self.now < end {
+            self.now += 1.0;
+            effects.extend(self.step(Input::Due));
+        }
+        effects
+    }
+}
+
+fn sent(effects: &[Effect]) -> (AttemptKey, Fetch) {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::Send { attempt, call, .. } => Some((*attempt, call.fetch.clone())),
+        _ => None,
+    });
+    found.unwrap_or_else(|| panic!("nothing sent in {effects:?}"))
+}
+
+fn replies(effects: &[Effect]) -> Vec<Reply> {
+    let reply = |effect: &Effect| match effect {
+        Effect::Answer { reply, .. } => Some(reply.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(reply).collect()
+}
+
+fn has(effects: &[Effect], wanted: &Effect) -> bool {
+    effects.contains(wanted)
+}
+
+#[test]
+fn a_served_request_is_answered_once_and_what_comes_later_is_not() {
+    let mut rig = Rig::new();
+    let (first, _) = sent(&rig.ask("read", 4000.0));
+    rig.step(Input::Progressed { attempt: first, progress: Progress::WrittenWhole });
+    assert_eq!(replies(&rig.answered(first, Outcome::Ok, 5, false)), [Reply::Served(vec![1; 5])]);
+    assert_eq!(replies(&rig.answered(first, Outcome::Ok, 5, false)), []);
+    assert_eq!(replies(&rig.wait(5000.0)), [], "nor at its deadline");
+    assert_eq!((rig.reducer.open(), rig.reducer.counters.served), (0, 1));
+}
+
+#[test]
+fn a_fragile_request_goes_out_again_only_if_it_never_left_whole() {
+    for progress in [Progress::NotConnected, Progress::PartlyWritten] {
+        let mut rig = Rig::new();
+        let (first, _) = sent(&rig.ask("fragile", 4000.0));
+        let (second, _) = sent(&rig.lost(first, progress));
+        let effects = rig.lost(second, Progress::WrittenWhole);
+        assert!(matches!(replies(&effects)[..], [Reply::Failed(_)]), "not refused either: {effects:?}");
+    }
+    // The machine's own word that it never ran counts, too; an error doesn't.
+    let mut rig = Rig::new();
+    let (first, _) = sent(&rig.ask("fragile", 4000.0));
+    let (second, _) = sent(&rig.answered(first, Outcome::Full, 0, false));
+    assert!(matches!(replies(&rig.answered(second, Outcome::Error, 0, false))[..], [Reply::Failed(_)]));
+}
+
+#[test]
+fn every_request_is_answered_a_little_before_its_client_gives_up() {
+    for (class, refused) in [("read", true), ("fragile", false)] {
+        let mut rig = Rig::new();
+        let (attempt, _) = sent(&rig.ask(class, 300.0));
+        rig.step(Input::Progressed { attempt, progress: Progress::WrittenWhole });
+        let early = rig.wait(260.0);
+        assert_eq!(replies(&early), []);
+        let effects = rig.wait(25.0);
+        assert!(has(&effects, &Effect::Stop { attempt }));
+        match &replies(&effects)[..] {
+            [Reply::Refused { hold_off_ms: Some(_) }] if refused => {}
+            [Reply::Failed(_)] if !refused => {}
+            other => panic!("{class}: {other:?}"),
+        }
+    }
+    // Its time counts from when it began to come.
+    let mut rig = Rig::new();
+    let ask = Ask { id: "x".into(), class: "read".into(), timeout_ms: 500.0, ..Ask::default() };
+    let client = Client { conn: 9, serial: 1 };
+    let effects = rig.step(Input::Asked { client, ask: Ok(ask), age_ms: 480.0 });
+    assert!(matches!(replies(&effects)[..], [Reply::Refused { .. }]), "too late to do anything");
+}
+
+#[test]
+fn an_aborted_request_gets_no_answer_and_its_attempts_are_stopped() {
+    let mut rig = Rig::new();
+    let (attempt, _) = sent(&rig.ask("read", 1000.0));
+    let client = rig.client();
+    let effects = rig.step(Input::Aborted { client });
+    assert!(has(&effects, &Effect::Stop { attempt }) && replies(&effects).is_empty());
+    let (attempt, _) = sent(&rig.ask("read", 1000.0));
+    let effects = rig.step(Input::Closed { conn: 1 });
+    assert!(has(&effects, &Effect::Stop { attempt }));
+    assert_eq!(replies(&rig.wait(1200.0)), []);
+    assert_eq!((rig.reducer.open(), rig.reducer.counters.aborted), (0, 2));
+}
+
+#[test]
+fn what_waits_in_a_queue_is_pulled_when_its_machine_or_source_leaves() {
+    for source in [false, true] {
+        let mut rig = Rig::new();
+        let (attempt, fetch) = sent(&rig.ask("read", 4000.0));
+        let (name, kind, zone) = match source {
+            true => (fetch.source.as_str(), "parent", "hub"),
+            false => (fetch.cache.as_str(), "edge", "east"),
+        };
+        let machines = vec![listed(name, kind, zone, Phase::Draining, None)];
+        let effects = rig.word(Word::Pool { whole: false, machines });
+        assert!(
+            has(&effects, &Effect::Stop { attempt })
+                && has(&effects, &Effect::Retire { member: name.into() })
+        );
+        let (_, next) = sent(&effects);
+        assert!(next.cache.as_str() != name && next.source.as_str() != name);
+        assert_eq!(rig.reducer.counters.attempt_pulled, 1);
+    }
+    // What has begun to leave is left alone.
+    let mut rig = Rig::new();
+    let (attempt, fetch) = sent(&rig.ask("read", 4000.0));
+    rig.step(Input::Progressed { attempt, progress: Progress::PartlyWritten });
+    let machines = vec![listed(fetch.cache.as_str(), "edge", "east", Phase::Deleted, None)];
+    assert!(!has(&rig.word(Word::Pool { whole: false, machines }), &Effect::Stop { attempt }));
+}
+
+#[test]
+fn what_waits_in_a_queue_for_long_is_pulled_and_sent_anew() {
+    let mut rig = Rig::new();
+    let (attempt, _) = sent(&rig.ask("fragile", 4000.0));
+    let effects = rig.wait(620.0);
+    assert!(has(&effects, &Effect::Stop { attempt }));
+    sent(&effects); // Nothing of it had left, so even this one may go out again.
+}
+
+#[test]
+fn a_machine_that_started_anew_is_told_of_once_for_each_start() {
+    let mut rig = Rig::new();
+    let start = |rig: &mut Rig, since: Option<Millis>| {
+        let machines = vec![listed("e1", "edge", "east", Phase::Serving, since)];
+        let effects = rig.word(Word::Pool { whole: false, machines });
+        effects.iter().filter(|effect| matches!(effect, Effect::Reborn { .. })).count()
+    };
+    let since = UNIX_MS + 1234.5;
+    let counts = [None, Some(since), Some(since), Some(since + 9.0)].map(|since| start(&mut rig, since));
+    assert_eq!(counts, [0, 1, 0, 1]);
+    // What a whole list doesn't hold is gone.
+    let machines = vec![listed("e2", "edge", "east", Phase::Serving, None)];
+    let effects = rig.word(Word::Pool { whole: true, machines });
+    assert!(has(&effects, &Effect::Retire { member: "e1".into() }));
+    assert!(!has(&effects, &Effect::Retire { member: "e2".into() }));
+}
+
+#[test]
+fn a_purge_counts_from_when_it_was_made() {
+    let mut rig = Rig::new();
+    rig.now += 1000.0;
+    let made_unix_ms = UNIX_MS + 400.0;
+    rig.word(Word::Purge { object: Some("song".into()), group: 0, made_unix_ms });
+    let (_, fetch) = sent(&rig.ask("read", 4000.0));
+    assert!(fetch.max_age_ms.is_some_and(|age| age > 500.0 && age < 600.0), "{fetch:?}");
+}
+
+#[test]
+fn slow_clients_are_shed_before_memory_runs_out() {
+    let mut rig = Rig::new();
+    let serve = |rig: &mut Rig, class: &str, conn: u64| {
+        rig.serial += 1;
+        let client = Client { conn, serial: rig.serial };
+        let ask = Ask { id: "x".into(), class: class.into(), timeout_ms: 4000.0, ..Ask::default() };
+        let (attempt, _) = sent(&rig.step(Input::Asked { client, ask: Ok(ask), age_ms: 0.0 }));
+        replies(&rig.answered(attempt, Outcome::Ok, 240_000, false)).remove(0)
+    };
+    // A quarter of 4 MB for one that doesn't read, and not a byte more.
+    let taken = (0..9).filter(|_| matches!(serve(&mut rig, "read", 1), Reply::Served(_))).count();
+    assert_eq!(taken, 4);
+    assert!(matches!(serve(&mut rig, "fragile", 1), Reply::Failed(_)), "it has run: no refusal");
+    assert!(matches!(serve(&mut rig, "read", 2), Reply::Served(_)), "others go on");
+    rig.step(Input::Flushed { conn: 1, bytes: 900_000 });
+    assert!(matches!(serve(&mut rig, "read", 1), Reply::Served(_)), "and it does once it reads");
+}
+
+#[test]
+fn a_copy_that_the_client_never_named_cannot_be_the_one() {
+    let mut rig = Rig::new();
+    let (attempt, _) = sent(&rig.ask("read", 4000.0));
+    let effects = rig.answered(attempt, Outcome::Ok, 0, true);
+    assert_eq!(replies(&effects), []);
+    sent(&effects);
+}
+
+#[test]
+fn told_to_end_it_serves_what_comes_answers_all_and_ends() {
+    let mut rig = Rig::new();
+    let (attempt, _) = sent(&rig.ask("read", 4000.0));
+    rig.step(Input::Progressed { attempt, progress: Progress::WrittenWhole });
+    rig.step(Input::Terminate);
+    assert!(!rig.reducer.ready());
+    let early = rig.wait(650.0);
+    assert!(!has(&early, &Effect::StopListening));
+    let (late, _) = sent(&rig.ask("read", 4000.0));
+    rig.answered(late, Outcome::Ok, 1, false);
+    let effects = rig.wait(100.0);
+    assert!(has(&effects, &Effect::StopListening) && !has(&effects, &Effect::Exit), "one is open");
+    let effects = rig.wait(2800.0);
+    assert_eq!(replies(&effects).len(), 1, "answered before the kill can come");
+    assert_eq!(effects.iter().filter(|effect| **effect == Effect::Exit).count(), 1);
+}
+
+#[test]
+fn whatever_happens_each_request_gets_one_answer_in_time() {
+    for seed in 1..40_u64 {
+        let mut state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        let mut chance = move |most: u64| {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            state % most
+        };
+        let mut rig = Rig::new();
+        let mut open: BTreeMap<u64, Millis> = BTreeMap::new();
+        let mut out: Vec<AttemptKey> = Vec::new();
+        for _ in 0..1500 {
+            let effects = match chance(12) {
+                0..=3 => {
+                    let class = ["read", "page", "keyed", "fragile", "none"][chance(5) as usize];
+                    let timeout = 50.0 + chance(3000) as f64;
+                    open.insert(rig.serial + 1, rig.now + timeout);
+                    rig.ask(class, timeout)
+                }
+                4..=6 if !out.is_empty() => {
+                    let attempt = out.swap_remove(chance(out.len() as u64) as usize);
+                    match chance(7) {
+                        0 => rig.lost(attempt, Progress::NotConnected),
+                        1 => rig.lost(attempt, Progress::WrittenWhole),
+                        2 => rig.answered(attempt, Outcome::Miss, 0, false),
+                        3 => rig.answered(attempt, Outcome::Error, 0, false),
+                        _ => rig.answered(attempt, Outcome::Ok, 9, false),
+                    }
+                }
+                7 if !out.is_empty() => {
+                    let attempt = out[chance(out.len() as u64) as usize];
+                    rig.step(Input::Progressed { attempt, progress: Progress::WrittenWhole })
+                }
+                8 => {
+                    let name = ["e1", "e2", "e3"][chance(3) as usize];
+                    let phase = [Phase::Serving, Phase::Draining, Phase::Deleted][chance(3) as usize];
+                    let since = Some(UNIX_MS + chance(9000) as f64);
+                    rig.word(Word::Pool {
+                        whole: false,
+                        machines: vec![listed(name, "edge", "east", phase, since)],
+                    })
+                }
+                9 if !open.is_empty() => {
+                    let serial = *open.keys().nth(chance(open.len() as u64) as usize).expect("one is open");
+                    open.remove(&serial);
+                    rig.step(Input::Aborted { client: Client { conn: 1, serial } })
+                }
+                _ => {
+                    rig.now += chance(40) as f64;
+                    rig.step(Input::Due)
+                }
+            };
+            for effect in effects {
+                match effect {
+                    Effect::Send { attempt, .. } => out.push(attempt),
+                    Effect::Stop { attempt } => out.retain(|other| *other != attempt),
+                    Effect::Answer { client, .. } => {
+                        assert!(open.remove(&client.serial).is_some(), "seed {seed}: none is owed");
+                    }
+                    _ => {}
+                }
+            }
+            assert!(open.values().all(|deadline| rig.now < *deadline + 15.0), "seed {seed}: overdue");
+        }
+        rig.wait(3500.0).iter().for_each(|effect| {
+            if let Effect::Answer { client, .. } = effect {
+                assert!(open.remove(&client.serial).is_some());
+            }
+        });
+        assert!(open.is_empty() && rig.reducer.open() == 0);
+    }
+}
--- /dev/null
+++ b/tests/serve.rs
@@ -0,0 +1,167 @@
+//! The program as a process, on loopback sockets whose ports the system picks.
+
+use frostturn::fastcgi::{self, kind, Decoder};
+use frostturn::resp;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+
+/// A machine that answers each request with what `word` makes of its id.
+fn machine(word: fn(&str) -> &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || answer_all(stream, word));
+        }
+    });
+    address
+}
+
+fn answer_all(mut stream: TcpStream, word: fn(&str) -> &'static str) {
+    let (mut decoder, mut buffer) = (resp::Decoder::default(), [0; 4096]);
+    while let Ok(bytes @ 1..) = stream.read(&mut buffer) {
+        decoder.feed(&buffer[..bytes]);
+        while let Ok(Some(frame)) = decoder.next_frame() {
+            let [verb, id, ..] = &frame[..] else { return };
+            let word = word(&String::from_utf8_lossy(id));
+            if verb == b"REQ" && !word.is_empty() {
+                let body = vec![b'x'; 240_000];
+                let body: &[u8] = if word == "DONE" { &body } else { b"" };
+                let frame = resp::frame(&[id, word.as_bytes(), b"tell=cached,version=ab,stamp=1", body]);
+                // The router may have gone.
+                let _ = stream.write_all(&frame);
+            }
+        }
+    }
+}
+
+struct Served {
+    child: Child,
+    log: BufReader<std::process::ChildStderr>,
+    address: String,
+}
+
+fn start(test: &str, machine: &str) -> Served {
+    let json = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","board":"127.0.0.1:1",
+        "limits":{{"memory_mb":192,"sockets":256}},"known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"snapshot":true,
+        "endpoints":[{{"name":"s-1","address":"{machine}","zone":"east","type":"std","status":"active"}}]}}}}]}},
+        "settings":{{"Az":"east","Localities":["east"],"MachineTypes":["std"],"Limits":{{"MostTries":2}},
+        "RequestClasses":[{{"Name":"page","Repeat":"retryable","AimMs":250.0,"HardLimitMs":3000.0}}]}}}}"#
+    );
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}.json"));
+    std::fs::write(&path, json).expect("written");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn"))
+        .env("PROXY_CONFIG", path)
+        .env_remove("PROXY_LISTEN")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let mut line = String::new();
+    while !line.contains("listens on ") {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("a log") > 0, "it ended early");
+    }
+    let address =
+        line.split("listens on ").nth(1).and_then(|rest| rest.split(',').next()).expect("an address");
+    Served { child, log, address: address.to_owned() }
+}
+
+impl Served {
+    /// Ends it with a signal; what it logged.
+    fn end(mut self) -> String {
+        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(killed.expect("kill runs").success());
+        let mut text = String::new();
+        self.log.read_to_string(&mut text).expect("a log");
+        assert!(self.child.wait().expect("it ends").success(), "{text}");
+        text
+    }
+}
+
+fn ask(stream: &mut TcpStream, request: u16, path: &str, id: &str) {
+    let (mut out, mut params) = (Vec::new(), Vec::new());
+    fastcgi::record(&mut out, kind::BEGIN, request, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    for (name, value) in [
+        ("SCRIPT_NAME", path),
+        ("HTTP_X_REQUEST_ID", id),
+        ("HTTP_X_TIMEOUT_MS", "2500"),
+        ("HTTP_X_OBJECT", "ab"),
+    ] {
+        fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
+    }
+    for (what, content) in [(kind::PARAMS, &params[..]), (kind::PARAMS, b""), (kind::STDIN, b"")] {
+        fastcgi::record(&mut out, what, request, content);
+    }
+    stream.write_all(&out).expect("written");
+}
+
+/// Reads until a request ends: its answer.
+fn answer(stream: &mut TcpStream, request: u16) -> String {
+    let (mut decoder, mut buffer, mut text) = (Decoder::default(), [0; 65_536], Vec::new());
+    loop {
+        let bytes = stream.read(&mut buffer).expect("readable");
+        assert!(bytes > 0, "closed without an answer");
+        decoder.feed(&buffer[..bytes]);
+        while let Some(record) = decoder.next_record().expect("readable") {
+            match record.kind {
+                kind::STDOUT if record.request == request => text.extend(record.content),
+                kind::END if record.request == request => return String::from_utf8_lossy(&text).into_owned(),
+                _ => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn it_serves_survives_malformed_clients_and_ends_cleanly() {
+    let served = start("serves", &machine(|_| "DONE"));
+    let connect = || TcpStream::connect(&served.address).expect("it listens");
+    let mut good = connect();
+    ask(&mut good, 1, "/alive", "");
+    assert!(answer(&mut good, 1).starts_with("Status: 200 "), "ready");
+    let mut bad = connect();
+    bad.write_all(b"GET / HTTP/1.1\r\n\r\n").expect("written");
+    assert_eq!(bad.read(&mut [0; 9]).unwrap_or(0), 0, "closed");
+    for (request, path) in [(1, "/ops/page"), (2, "/ops/page"), (3, "/ops/none"), (4, "/ops/page")] {
+        ask(&mut good, request, path, &format!("a{request}"));
+        let text = answer(&mut good, request);
+        if path == "/ops/none" {
+            assert!(text.starts_with("Status: 502 "), "{text}");
+        } else {
+            assert!(text.starts_with("Status: 200 ") && text.ends_with("xx") && text.len() > 240_000);
+        }
+    }
+    let log = served.end();
+    assert!(
+        log.contains("taken=3 ") && log.contains("served=3 ") && log.contains("bad_requests=1 "),
+        "{log}"
+    );
+    assert!(log.contains("client_faults=1 ") && log.contains("panics=0"), "{log}");
+}
+
+#[test]
+fn what_is_open_at_the_signal_is_served_before_the_end() {
+    let served = start("drains", &machine(|id| if id == "never" { "" } else { "LACK" }));
+    let mut stream = TcpStream::connect(&served.address).expect("it listens");
+    ask(&mut stream, 1, "/ops/page", "never");
+    ask(&mut stream, 2, "/ops/page", "lacks");
+    assert!(answer(&mut stream, 2).starts_with("Status: 503 "), "no copy: refused at once");
+    let reader = thread::spawn(move || answer(&mut stream, 1));
+    let log = served.end();
+    assert!(reader.join().expect("it is answered").starts_with("Status: 503 "));
+    assert!(log.contains("taken=2 ") && log.contains("refused=2 "), "{log}");
+}
+
+#[test]
+fn a_bad_config_ends_the_start_with_one_line() {
+    let output = Command::new(env!("CARGO_BIN_EXE_frostturn"))
+        .env("PROXY_CONFIG", concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml"))
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && text.lines().count() == 1 && text.contains("cannot start"), "{text}");
+}
