--- a/src/back.rs
+++ b/src/back.rs
@@ -129,7 +129,7 @@
     ) -> Option<(LinkKey, bool)> {
         let id = call.ask.id.clone();
         let frame = Frame { bytes: request(call), opens: Some(id) };
-        self.queue(now, What::Attempt(attempt), member, address, frame)
+        self.queue(now, What::Attempt(attempt), member, address, frame, true)
     }
 
     /// Queues a probe; as [`Links::send`].
@@ -137,7 +137,7 @@
         self.next_probe += 1;
         let tag = format!("probe{}", self.next_probe);
         let frame = Frame { bytes: resp::frame(&[b"STAT", tag.as_bytes()]), opens: Some(tag) };
-        self.queue(now, What::Probe, member, address, frame)
+        self.queue(now, What::Probe, member, address, frame, true)
     }
 
     fn queue(
@@ -147,11 +147,13 @@
         member: &CacheId,
         address: SocketAddr,
         frame: Frame,
+        old_will_do: bool,
     ) -> Option<(LinkKey, bool)> {
         let id = frame.opens.clone().unwrap_or_default();
         let own = || self.links.iter().filter(|(_, link)| link.member == *member);
         let count = own().count();
-        let fits = own().filter(|(_, link)| link.takes(now, address, &id, self.streams));
+        let will_do = |link: &Link| old_will_do || link.up.is_none();
+        let fits = own().filter(|(_, link)| will_do(link) && link.takes(now, address, &id, self.streams));
         // One that is up goes before one that is dialled, and the less it carries the better.
         let best = fits.min_by_key(|(_, link)| (link.up.is_none(), link.open.len()));
         let crowded = best.is_some_and(|(_, link)| link.open.len() >= CROWDED) && count < MAX_LINKS;
@@ -292,7 +294,9 @@
             if link.up.is_some() && progress == Progress::NotConnected {
                 let frame = link.out.iter().position(|frame| frame.opens.as_ref() == Some(&id));
                 if let Some(frame) = frame.and_then(|at| link.out.remove(at)) {
-                    if let Some((to, _)) = self.queue_anew(now, what, &link, frame) {
+                    let (member, address) = (&link.member, link.address);
+                    // Another one that is up may be as dead.
+                    if let Some((to, _)) = self.queue(now, what, member, address, frame, false) {
                         ended.moved = Some(to);
                         continue;
                     }
@@ -310,22 +314,6 @@
         ended
     }
 
-    /// Moves a frame to a connection that is being dialled, or a new one: another that is up may be as dead.
-    fn queue_anew(&mut self, now: Millis, what: What, from: &Link, frame: Frame) -> Option<(LinkKey, bool)> {
-        let up: Vec<LinkKey> =
-            self.links.iter().filter(|(_, l)| l.up.is_some()).map(|(key, _)| *key).collect();
-        let mut hidden = BTreeMap::new();
-        for key in up {
-            hidden.extend(self.links.remove(&key).map(|link| (key, link)));
-        }
-        let most = self.most;
-        self.most = most.saturating_sub(hidden.len());
-        let queued = self.queue(now, what, &from.member, from.address, frame);
-        self.most = most;
-        self.links.append(&mut hidden);
-        queued
-    }
-
     /// The connection that an attempt is on.
     pub fn carrier(&self, attempt: AttemptKey) -> Option<LinkKey> {
         self.on.get(&attempt).map(|(key, _)| *key)
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -491,7 +491,7 @@
             return self.effects.push(Effect::Answer { client, reply });
         }
         // Ids of the module's own: a client may send one again, on another connection.
-        let id: RequestId = format!("{}.{}", client.conn, client.serial).as_str().into();
+        let id: RequestId = format!("{}/{}.{}", ask.id, client.conn, client.serial).as_str().into();
         self.events.push_back(Event::Request(ClientRequest {
             id: id.clone(),
             repeat: ask.repeat,
