Dial every connection that takes over from one that closed, and only one beside a crowded one

Found by reading: down() told of the last taker only (src/back.rs, Ended::moved), so what waited on another was never dialled and came back as unconnected after 0.4 s; and with one crowded connection up, each further attempt had one more dialled, as the crowded one still sorted first (Links::queue).

--- a/src/back.rs
+++ b/src/back.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use crate::reducer::{Answer, AttemptKey, Call, Progress};
 use crate::resp::{self, Decoder, Fault};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// A connection with something out that has said nothing for so long gets nothing more: its machine may have
@@ -41,8 +41,8 @@
     pub lost: Vec<(AttemptKey, Progress)>,
     /// Probes that are.
     pub probes: Vec<CacheId>,
-    /// The connection on which the rest goes on, if any: it was up, and no byte of them had left.
-    pub moved: Option<LinkKey>,
+    /// The connections on which the rest goes on: it was up, and no byte of them had left.
+    pub moved: BTreeSet<LinkKey>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -154,9 +154,11 @@
         let count = own().count();
         let will_do = |link: &Link| old_will_do || link.up.is_none();
         let fits = own().filter(|(_, link)| will_do(link) && link.takes(now, address, &id, self.streams));
-        // One that is up goes before one that is dialled, and the less it carries the better.
-        let best = fits.min_by_key(|(_, link)| (link.up.is_none(), link.open.len()));
-        let crowded = best.is_some_and(|(_, link)| link.open.len() >= CROWDED) && count < MAX_LINKS;
+        // One that is up goes before one that is dialled, and the less it carries the better; but a crowded
+        // one comes last, or each further attempt would have one more dialled.
+        let full = |link: &Link| link.open.len() >= CROWDED;
+        let best = fits.min_by_key(|(_, link)| (full(link), link.up.is_none(), link.open.len()));
+        let crowded = best.is_some_and(|(_, link)| full(link)) && count < MAX_LINKS;
         let room = self.links.len() < self.most;
         let (key, new) = match best {
             Some((key, _)) if !(crowded && room) => (*key, false),
@@ -297,7 +299,7 @@
                     let (member, address) = (&link.member, link.address);
                     // Another one that is up may be as dead.
                     if let Some((to, _)) = self.queue(now, what, member, address, frame, false) {
-                        ended.moved = Some(to);
+                        ended.moved.insert(to);
                         continue;
                     }
                 }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -486,7 +486,7 @@
             self.inbox.push_back(Input::Ended { attempt, end: End::Lost(progress) });
         }
         ended.probes.into_iter().for_each(|member| self.probe_failed(member));
-        if let Some(to) = ended.moved {
+        for to in ended.moved {
             self.queued(to, !known.contains(&to));
         }
     }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -403,10 +403,12 @@
                         out.iter().filter(|(_, (_, on))| *on == key).map(|(at, _)| *at).collect();
                     assert!(moved.iter().all(|attempt| !lost.contains(attempt)));
                     // What moves on had not begun to leave; it goes to one that isn't up yet.
-                    assert!(moved.is_empty() || (was_up && ended.moved.is_some_and(|to| !links.is_up(to))));
+                    assert!(moved.is_empty() || was_up);
+                    assert!(ended.moved.iter().all(|to| !links.is_up(*to)));
                     for attempt in moved {
                         let (id, _) = out[&attempt].clone();
                         let to = links.carrier(attempt).expect("it is still out");
+                        assert!(ended.moved.contains(&to), "each new one is told of, to be dialled");
                         wrote.entry(to).or_default();
                         out.insert(attempt, (id, to));
                     }
@@ -440,6 +442,22 @@
     assert_eq!(links.receive(990.0, first, &reply("b", "DONE")).0, [Back::Late]);
 }
 
+#[test]
+fn all_connections_that_take_over_from_one_that_closed_are_told_of() {
+    // One that is forgotten is never dialled, and what waits on it is lost.
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let (first, _) = links.send(0.0, 1, &member, address(1), &call("id-1")).expect("room");
+    links.up(0.0, first);
+    for attempt in 2..=20 {
+        links.send(0.0, attempt, &member, address(1), &call(&format!("id-{attempt}")));
+    }
+    assert_eq!(links.count(), 2, "beside a crowded one a single other is dialled");
+    let ended = links.down(1.0, first);
+    let carriers: BTreeSet<u64> = (1..=20).filter_map(|attempt| links.carrier(attempt)).collect();
+    assert_eq!((ended.lost, ended.moved.len()), (vec![], 2));
+    assert_eq!(ended.moved, carriers);
+}
+
 #[test]
 fn connections_end_when_idle_retired_or_not_up_in_time() {
     let (mut links, member) = (links(), CacheId::from("m"));
