Test the order of inputs and the count of what is coming in

The guard timer itself stays without one: with the module as it is, an attempt's own time-out falls on the same moment.

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -59,11 +59,37 @@
     Over(&'static str),
 }
 
+/// Inputs that wait for the reducer.
+#[derive(Debug, Default)]
+pub struct Inbox(VecDeque<Input>);
+
+impl Inbox {
+    /// Adds an input. How far an attempt has come goes before all else that waits: one that is given up by
+    /// another input must not pass for unsent when it has left.
+    pub fn push(&mut self, input: Input) {
+        match input {
+            Input::Progressed { .. } => self.0.push_front(input),
+            _ => self.0.push_back(input),
+        }
+    }
+
+    /// Takes the next one.
+    pub fn pop(&mut self) -> Option<Input> {
+        self.0.pop_front()
+    }
+}
+
+impl Extend<Input> for Inbox {
+    fn extend<T: IntoIterator<Item = Input>>(&mut self, inputs: T) {
+        inputs.into_iter().for_each(|input| self.push(input));
+    }
+}
+
 struct Runtime {
     handle: LoopHandle<'static, Runtime>,
     start: Instant,
     reducer: Reducer,
-    inbox: VecDeque<Input>,
+    inbox: Inbox,
     ready: BTreeMap<Source, Readiness>,
     signals: Vec<Signal>,
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
@@ -113,7 +139,7 @@
         handle,
         start,
         reducer,
-        inbox: VecDeque::new(),
+        inbox: Inbox::default(),
         ready: BTreeMap::new(),
         signals: Vec::new(),
         listener: Some((listener, token)),
@@ -245,7 +271,7 @@
                 Signal::SIGUSR1 => eprintln!("frostturn: {}", self.reducer.counters),
                 _ => {
                     say!("told to end; {} requests are open", self.reducer.open());
-                    self.inbox.push_back(Input::Terminate);
+                    self.inbox.push(Input::Terminate);
                 }
             }
         }
@@ -277,7 +303,7 @@
             self.poll_board();
         }
         if self.reducer.next_due().is_some_and(|at| at <= self.now()) {
-            self.inbox.push_back(Input::Due);
+            self.inbox.push(Input::Due);
         }
         self.work();
     }
@@ -305,7 +331,7 @@
 
     /// Gives the reducer its inputs and carries out its effects until nothing is left.
     fn work(&mut self) {
-        while let Some(input) = self.inbox.pop_front() {
+        while let Some(input) = self.inbox.pop() {
             let now = self.now();
             let step = catch_unwind(AssertUnwindSafe(|| self.reducer.step(now, input)));
             let Ok(effects) = step else {
@@ -332,7 +358,7 @@
                     Some((key, new)) => self.queued(key, new),
                     None => {
                         let end = End::Lost(Progress::NotConnected);
-                        self.inbox.push_back(Input::Ended { attempt, end });
+                        self.inbox.push(Input::Ended { attempt, end });
                     }
                 }
             }
@@ -363,7 +389,7 @@
 
     fn probe_failed(&mut self, member: crate::api::CacheId) {
         let (outcome, report) = (Outcome::ConnectFailed, LoadReport::default());
-        self.inbox.push_back(Input::Probed { member, outcome, report });
+        self.inbox.push(Input::Probed { member, outcome, report });
     }
 
     /// Something is queued for a machine: dials if the connection is new.
@@ -427,7 +453,7 @@
             let (heard, fault) = self.links.receive(now, key, &self.buffer[..bytes]);
             for heard in heard {
                 let counters = &mut self.reducer.counters;
-                self.inbox.push_back(match heard {
+                self.inbox.push(match heard {
                     back::Heard::Answer(attempt, answer) => {
                         Input::Ended { attempt, end: End::Answer(answer) }
                     }
@@ -458,8 +484,7 @@
             match sock.write(bytes) {
                 Ok(bytes) => {
                     if let Some((attempt, progress)) = self.links.wrote(now, key, bytes) {
-                        // Before all else that waits: an attempt given up by that must not pass for unsent.
-                        self.inbox.push_front(Input::Progressed { attempt, progress });
+                        self.inbox.push(Input::Progressed { attempt, progress });
                     }
                 }
                 Err(Io::Over(why)) => return Some(why),
@@ -483,7 +508,7 @@
             say!("connection to {address} lost with {} attempts: {why}", ended.lost.len());
         }
         for (attempt, progress) in ended.lost {
-            self.inbox.push_back(Input::Ended { attempt, end: End::Lost(progress) });
+            self.inbox.push(Input::Ended { attempt, end: End::Lost(progress) });
         }
         ended.probes.into_iter().for_each(|member| self.probe_failed(member));
         for to in ended.moved {
@@ -560,7 +585,7 @@
             }
             let bytes = conn.taken_back();
             if bytes > 0 {
-                self.inbox.push_back(Input::Flushed { conn: key, bytes });
+                self.inbox.push(Input::Flushed { conn: key, bytes });
             }
             let heard = match heard {
                 Ok(heard) => heard,
@@ -572,7 +597,7 @@
             };
             for heard in heard {
                 let client = |serial| Client { conn: key, serial };
-                self.inbox.push_back(match heard {
+                self.inbox.push(match heard {
                     front::Heard::Begun(serial) => {
                         begun.insert(serial, now);
                         continue;
@@ -611,7 +636,7 @@
             self.dirty.insert(Source::Front(key));
         }
         if written > 0 {
-            self.inbox.push_back(Input::Flushed { conn: key, bytes: written });
+            self.inbox.push(Input::Flushed { conn: key, bytes: written });
         }
         over
     }
@@ -620,7 +645,7 @@
         if let Some((sock, conn, _)) = self.fronts.remove(&key) {
             self.coming -= conn.holding();
             self.handle.remove(sock.token);
-            self.inbox.push_back(Input::Closed { conn: key });
+            self.inbox.push(Input::Closed { conn: key });
         }
     }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -215,6 +215,21 @@
     }
 }
 
+#[test]
+fn what_is_coming_in_is_counted_until_it_is_whole_or_gone() {
+    let mut abort = Vec::new();
+    fastcgi::record(&mut abort, kind::ABORT, 1, b"");
+    let sent = asking(1, "/ops/page", "a", &[7; 90_000]);
+    let (most, end) = sent.split_at(sent.len() - 8);
+    for last in [end, &abort] {
+        let mut conn = Conn::default();
+        conn.receive(most).expect("well-formed");
+        assert!(conn.holding() > 90_000);
+        conn.receive(last).expect("well-formed");
+        assert_eq!(conn.holding(), 0);
+    }
+}
+
 #[test]
 fn malformed_records_are_faults_and_bad_fields_are_not() {
     let whole = |bytes: &[u8]| Conn::default().receive(bytes);
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -7,6 +7,7 @@
 use frostturn::board::{Listed, Notice, Word};
 use frostturn::config::Net;
 use frostturn::reducer::*;
+use frostturn::runtime::Inbox;
 use std::collections::BTreeMap;
 
 /// The Unix time at [`START_MS`].
@@ -223,6 +224,17 @@
     sent(&effects); // Nothing of it had left, so even this one may go out again.
 }
 
+#[test]
+fn what_has_left_is_known_before_anything_that_gives_it_up() {
+    let mut rig = Rig::new();
+    let (attempt, _) = sent(&rig.ask("fragile", 200.0));
+    let mut inbox = Inbox::default();
+    rig.now += 190.0;
+    inbox.extend([Input::Due, Input::Progressed { attempt, progress: Progress::WrittenWhole }]);
+    let effects: Vec<Effect> = std::iter::from_fn(|| inbox.pop()).flat_map(|input| rig.step(input)).collect();
+    assert!(matches!(replies(&effects)[..], [Reply::Failed(_)]), "it may have run: {effects:?}");
+}
+
 #[test]
 fn a_machine_that_started_anew_is_told_of_once_for_each_start() {
     let mut rig = Rig::new();
