--- a/src/back.rs
+++ b/src/back.rs
@@ -1,6 +1,7 @@
 //! Connections to machines: what is on which, how far it has come, and which answer is whose.
 
 use crate::api::*;
+use crate::config;
 use crate::reducer::{Answer, AttemptKey, Call, Progress};
 use crate::resp::{self, Decoder, Fault};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -416,14 +417,9 @@
         for (name, value) in
             self.get("meter").unwrap_or("").split(';').filter_map(|pair| pair.split_once(':'))
         {
-            let slot = match name {
-                "util" => &mut report.util,
-                "inflight" => &mut report.inflight,
-                "x0" => &mut report.hit_share,
-                "x1" => &mut report.link,
-                _ => continue,
-            };
-            *slot = value.parse().ok().filter(|number: &f64| number.is_finite());
+            if let Some(slot) = config::report_value(&mut report, name) {
+                *slot = value.parse().ok().filter(|number: &f64| number.is_finite());
+            }
         }
         report
     }
--- a/src/bin/frostturn-simhost/wire.rs
+++ b/src/bin/frostturn-simhost/wire.rs
@@ -88,14 +88,9 @@
     for pair in text.unwrap_or_default().split(',').filter(|pair| !pair.is_empty()) {
         let (name, value) =
             pair.split_once(':').or_else(|| pair.split_once('=')).ok_or("a report value has no name")?;
-        let slot = match name {
-            "util" => &mut report.util,
-            "inflight" => &mut report.inflight,
-            "x0" => &mut report.hit_share,
-            "x1" => &mut report.link,
-            _ => continue,
-        };
-        *slot = Some(number(value, name)?);
+        if let Some(slot) = config::report_value(&mut report, name) {
+            *slot = Some(number(value, name)?);
+        }
     }
     Ok(report)
 }
--- /dev/null
+++ b/src/bytes.rs
@@ -0,0 +1,26 @@
+//! Bytes that have come and are not yet read: the part that the codecs share.
+
+/// Bytes in the order in which they came.
+#[derive(Debug, Default)]
+pub struct Bytes {
+    bytes: Vec<u8>,
+    at: usize,
+}
+
+impl Bytes {
+    /// Takes bytes in, and lets go of those that were read.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..std::mem::take(&mut self.at));
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// What is not yet read.
+    pub fn rest(&self) -> &[u8] {
+        &self.bytes[self.at..]
+    }
+
+    /// So much of it has been read.
+    pub fn advance(&mut self, bytes: usize) {
+        self.at = (self.at + bytes).min(self.bytes.len());
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -132,6 +132,17 @@
     }
 }
 
+/// Where a value of a load report goes, by its name; `None`: it isn't known.
+pub fn report_value<'a>(report: &'a mut LoadReport, name: &str) -> Option<&'a mut Option<f64>> {
+    Some(match name {
+        "util" => &mut report.util,
+        "inflight" => &mut report.inflight,
+        "x0" => &mut report.hit_share,
+        "x1" => &mut report.link,
+        _ => return None,
+    })
+}
+
 /// Reads a finite number.
 pub fn number(text: &str, what: &str) -> Result<f64, Fault> {
     text.parse::<f64>()
--- a/src/fastcgi.rs
+++ b/src/fastcgi.rs
@@ -1,5 +1,7 @@
 //! The FastCGI 1.0 codec: bytes to records and back. Pure, incremental, bounded by the record's length field.
 
+use crate::bytes::Bytes;
+
 /// Kinds of records.
 pub mod kind {
     /// A request begins.
@@ -59,23 +61,18 @@
 /// Turns bytes into records, wherever they are split.
 #[derive(Debug, Default)]
 pub struct Decoder {
-    bytes: Vec<u8>,
-    at: usize,
+    bytes: Bytes,
 }
 
 impl Decoder {
     /// Takes bytes in.
     pub fn feed(&mut self, bytes: &[u8]) {
-        if self.at > 0 {
-            self.bytes.drain(..self.at);
-            self.at = 0;
-        }
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.feed(bytes);
     }
 
     /// The next whole record.
     pub fn next_record(&mut self) -> Result<Option<Record>, Fault> {
-        let rest = &self.bytes[self.at..];
+        let rest = self.bytes.rest();
         let Some((header, rest)) = rest.split_at_checked(HEADER) else { return Ok(None) };
         if header[0] != 1 {
             return Err(Fault::Version(header[0]));
@@ -90,7 +87,7 @@
             request: u16::from_be_bytes([header[2], header[3]]),
             content: rest[..length].to_vec(),
         };
-        self.at += HEADER + whole;
+        self.bytes.advance(HEADER + whole);
         Ok(Some(record))
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod api;
 pub mod back;
 pub mod board;
+pub mod bytes;
 pub mod config;
 pub mod counters;
 pub mod fastcgi;
--- a/src/resp.rs
+++ b/src/resp.rs
@@ -1,5 +1,7 @@
 //! The RESP codec: arrays of bulk strings. Pure, incremental and bounded.
 
+use crate::bytes::Bytes;
+
 /// Parts of one frame, at most.
 const MAX_PARTS: usize = 8;
 /// Bytes of one part, at most: an object has 240,000 at most.
@@ -14,8 +16,7 @@
 /// Turns bytes into frames, wherever they are split.
 #[derive(Debug, Default)]
 pub struct Decoder {
-    bytes: Vec<u8>,
-    at: usize,
+    bytes: Bytes,
     /// Parts of the frame that are still to come.
     to_come: usize,
     /// Length of the part that comes now.
@@ -26,16 +27,12 @@
 impl Decoder {
     /// Takes bytes in.
     pub fn feed(&mut self, bytes: &[u8]) {
-        if self.at > 0 {
-            self.bytes.drain(..self.at);
-            self.at = 0;
-        }
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.feed(bytes);
     }
 
     /// A line's number, once the line is whole.
     fn line(&mut self, mark: u8, most: usize) -> Result<Option<usize>, Fault> {
-        let rest = &self.bytes[self.at..];
+        let rest = self.bytes.rest();
         let Some(end) = rest.iter().take(MAX_LINE).position(|byte| *byte == b'\n') else {
             return if rest.len() >= MAX_LINE { Err(Fault("a length is too long")) } else { Ok(None) };
         };
@@ -43,7 +40,7 @@
         let digits = digits.filter(|digits| !digits.is_empty() && digits.iter().all(u8::is_ascii_digit));
         let number = digits.and_then(|digits| std::str::from_utf8(digits).ok()?.parse::<usize>().ok());
         let number = number.filter(|number| *number <= most).ok_or(Fault("a length can't be read"))?;
-        self.at += end + 1;
+        self.bytes.advance(end + 1);
         Ok(Some(number))
     }
 
@@ -51,7 +48,7 @@
     pub fn next_frame(&mut self) -> Result<Option<Vec<Vec<u8>>>, Fault> {
         loop {
             if let Some(length) = self.part {
-                let Some((part, rest)) = self.bytes[self.at..].split_at_checked(length) else {
+                let Some((part, rest)) = self.bytes.rest().split_at_checked(length) else {
                     return Ok(None);
                 };
                 let Some(end) = rest.first_chunk::<2>() else { return Ok(None) };
@@ -59,7 +56,7 @@
                     return Err(Fault("a part has no end"));
                 }
                 self.parts.push(part.to_vec());
-                self.at += length + 2;
+                self.bytes.advance(length + 2);
                 self.part = None;
                 self.to_come -= 1;
                 if self.to_come == 0 {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -211,34 +211,27 @@
 }
 
 impl Sock {
-    /// Reads once; `None` at a round's end.
     fn read(&mut self, buffer: &mut [u8]) -> Result<usize, Io> {
-        loop {
-            match (&*self.stream).read(buffer) {
-                Ok(0) => return Err(Io::Over("closed")),
-                Ok(bytes) => return Ok(bytes),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.readable = false;
-                    return Err(Io::Blocked);
-                }
-                Err(_) => return Err(Io::Over("broken")),
-            }
-        }
+        once(&mut self.readable, || (&*self.stream).read(buffer))
     }
 
     fn write(&mut self, bytes: &[u8]) -> Result<usize, Io> {
-        loop {
-            match (&*self.stream).write(bytes) {
-                Ok(0) => return Err(Io::Over("closed")),
-                Ok(bytes) => return Ok(bytes),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.writable = false;
-                    return Err(Io::Blocked);
-                }
-                Err(_) => return Err(Io::Over("broken")),
+        once(&mut self.writable, || (&*self.stream).write(bytes))
+    }
+}
+
+/// Reads or writes once; `able` is taken away when the socket can do no more.
+fn once(able: &mut bool, mut io: impl FnMut() -> io::Result<usize>) -> Result<usize, Io> {
+    loop {
+        match io() {
+            Ok(0) => return Err(Io::Over("closed")),
+            Ok(bytes) => return Ok(bytes),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                *able = false;
+                return Err(Io::Blocked);
             }
+            Err(_) => return Err(Io::Over("broken")),
         }
     }
 }
