Send nothing to a cache of another location when none is left here

The inherited module does it where no cache here is usable, direct requests are allowed and sources may be anywhere: the source pick fell to the piece's home elsewhere, and src/policy.rs plan() took the source as the target. Fix: pick_source leaves other locations out when it picks for a direct request; the origin serves then.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -494,7 +494,7 @@
         let aim_left = pending.arrived + aim - now;
         // Without a usable cache here, and where it is allowed, the parent pick serves directly.
         let lost = self.settings.bypass_allowed && !self.listed(Role::Edge).any(|at| self.usable(now, at));
-        let picked = self.pick_source(now, pending);
+        let picked = self.pick_source(now, pending, lost);
         let cache = if lost { picked? } else { self.pick_cache(now, pending)? };
         // A full link slows every fill, and the repeats keep it full: only what the caches hold is served.
         let missed = pending.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
@@ -683,7 +683,7 @@
     /// The parent pick: of the object's first two hashed parents, the one with the shorter recent time
     /// to first byte, else the nearer; with none usable, the piece's home in another location, which
     /// spares the origin; then the origin.
-    fn pick_source(&self, now: Millis, pending: &Pending) -> Option<NodeAt> {
+    fn pick_source(&self, now: Millis, pending: &Pending, lost: bool) -> Option<NodeAt> {
         let asked = &pending.asked;
         let failed = |at: NodeAt| pending.attempts.iter().any(|a| a.blamed == Some(at));
         let origin = self.listed(Role::Origin).min_by_key(|at| (failed(*at), !self.usable(now, *at)));
@@ -704,7 +704,8 @@
         let warm = |at: &NodeAt| self.warmth(now, &self.nodes[*at]).is_none();
         let away = || self.listed(Role::Away).filter(|at| self.usable(now, *at) && warm(at) && !failed(*at));
         let abroad = || self.ordered(asked, away().collect()).first().copied();
-        pick.or_else(|| abroad().filter(|_| self.settings.siblings == Siblings::Any)).or(origin)
+        // It may be a source, but nothing is sent to it: without a cache here the origin serves.
+        pick.or_else(|| abroad().filter(|_| !lost && self.settings.siblings == Siblings::Any)).or(origin)
     }
 
     /// The one place that decides whether a request may go out again, to this cache.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -49,6 +49,15 @@
     assert_eq!(bound(&driver.ask(READ, "song")), None);
 }
 
+#[test]
+fn without_a_cache_here_nothing_is_sent_to_one_of_another_location() {
+    // That is a fault, though as a source it would do.
+    let settings = Settings { bypass_allowed: true, siblings: Siblings::Any, ..settings() };
+    let list = fleet().into_iter().filter(|e| matches!(e.cache.as_str(), "w1" | "o1")).collect();
+    let sent = fetch(&Driver::new(settings, list).ask(READ, "song"));
+    assert_eq!((sent.cache.as_str(), sent.source.as_str()), ("o1", "o1"));
+}
+
 #[test]
 fn a_purge_of_an_object_holds_whatever_group_came_with_it() {
     // The notice board names the object alone.
