Close client connections whose client has vanished

Found by reading: a client machine that vanishes says nothing, and its connection held a descriptor for ever. One on which nothing has moved for 15 s, and that awaits no answer or takes none, is closed (front::Conn::stale).

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -75,6 +75,8 @@
     board_faults,
     /// Client connections closed for a malformed record.
     client_faults,
+    /// Client connections closed since nothing moved on them for long.
+    clients_stale,
     /// Shelf connections closed for an unreadable frame.
     shelf_faults,
     /// Connections opened to machines.
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,5 +1,6 @@
 //! A client connection's state: which requests are open on it, and what is still to be written.
 
+use crate::api::Millis;
 use crate::fastcgi::{self, kind, status, Decoder, Fault, Record};
 use crate::reducer::{Ask, Reply};
 use std::collections::{BTreeMap, VecDeque};
@@ -12,6 +13,10 @@
 /// With more than that unwritten, nothing more is read: a client that doesn't read isn't heard.
 const MAX_UNWRITTEN: usize = 1 << 20;
 
+/// Clients close idle connections after 4 s. One on which nothing has moved for so long, and which awaits no
+/// answer or takes none, has lost its client; it would hold its descriptor for ever.
+const STALE_MS: Millis = 15_000.0;
+
 /// What a connection brings.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Heard {
@@ -48,6 +53,7 @@
     unwritten: usize,
     taken_back: usize,
     holding: usize,
+    moved: Millis,
     closing: bool,
 }
 
@@ -223,6 +229,17 @@
         self.taken_back += bytes;
     }
 
+    /// Bytes have come or gone.
+    pub fn touch(&mut self, now: Millis) {
+        self.moved = now;
+    }
+
+    /// Whether its client is taken to be gone.
+    pub fn stale(&self, now: Millis) -> bool {
+        let awaits = self.open.values().any(|open| open.asked);
+        now - self.moved > STALE_MS && (!awaits || self.unwritten > 0)
+    }
+
     /// Bytes of requests that are still coming in.
     pub fn holding(&self) -> usize {
         self.holding
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
-//! The decisions of a router that decides where objects are served, kept and filled from.
+//! A request router: where objects are served, kept and filled from, and the network around these decisions.
 //!
-//! A [`Router`] is a deterministic state machine without I/O: make one from [`Settings`](api::Settings),
+//! [`runtime`] serves on sockets; `docs/architecture.md` says how the parts fit. The decisions stand alone: a
+//! [`Router`] is a deterministic state machine without I/O: make one from [`Settings`](api::Settings),
 //! feed it [`Event`](api::Event)s with the time, and carry out the [`Action`](api::Action)s it returns.
 //!
 //! ```
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -30,6 +30,8 @@
 const LAST_READS_MS: Millis = 60.0;
 /// Part of the memory limit that requests which are still coming in may take.
 const COMING_IN: f64 = 0.15;
+/// Time between looks for client connections whose client is gone.
+const SWEEP_MS: Millis = 1000.0;
 /// Longest sleep of the loop.
 const IDLE_MS: Millis = 1000.0;
 
@@ -94,6 +96,7 @@
     signals: Vec<Signal>,
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     accept_from: Option<Millis>,
+    sweep_at: Millis,
     fronts: BTreeMap<u64, (Sock, Conn, BTreeMap<u64, Millis>)>,
     next_front: u64,
     links: Links,
@@ -144,6 +147,7 @@
         signals: Vec::new(),
         listener: Some((listener, token)),
         accept_from: None,
+        sweep_at: SWEEP_MS,
         fronts: BTreeMap::new(),
         next_front: 0,
         links,
@@ -292,6 +296,14 @@
         for key in self.links.expired(self.now()) {
             self.link_down(key, "not up in time, or idle");
         }
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP_MS;
+            let stale = self.fronts.iter().filter(|(_, (_, conn, _))| conn.stale(now));
+            for key in stale.map(|(key, _)| *key).collect::<Vec<_>>() {
+                self.reducer.counters.clients_stale += 1;
+                self.close_front(key);
+            }
+        }
         if self.follower.due <= self.now() {
             self.poll_board();
         }
@@ -527,7 +539,9 @@
             match accepted {
                 Ok(sock) => {
                     self.next_front += 1;
-                    self.fronts.insert(self.next_front, (sock, Conn::default(), BTreeMap::new()));
+                    let mut conn = Conn::default();
+                    conn.touch(self.now());
+                    self.fronts.insert(self.next_front, (sock, conn, BTreeMap::new()));
                     self.dirty.insert(Source::Front(self.next_front));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -568,6 +582,7 @@
                 Err(_) => return false,
             };
             read += bytes;
+            conn.touch(now);
             let before = conn.holding();
             let heard = conn.receive(&self.buffer[..bytes]);
             self.coming = self.coming + conn.holding() - before;
@@ -611,7 +626,7 @@
 
     /// Writes what a client is owed; true if its connection has ended.
     fn write_front(&mut self, key: u64) -> bool {
-        let mut written = 0;
+        let (mut written, now) = (0, self.now());
         let Some((sock, conn, _)) = self.fronts.get_mut(&key) else { return false };
         let deaf = !conn.listens();
         let over = loop {
@@ -619,6 +634,7 @@
             match sock.write(bytes) {
                 Ok(bytes) => {
                     conn.wrote(bytes);
+                    conn.touch(now);
                     written += bytes;
                 }
                 Err(Io::Over(_)) => break true,
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -230,6 +230,19 @@
     }
 }
 
+#[test]
+fn a_connection_whose_client_is_gone_is_told_from_one_that_awaits_an_answer() {
+    let mut conn = Conn::default();
+    conn.touch(1000.0);
+    assert!(!conn.stale(15_000.0) && conn.stale(17_000.0), "idle for long");
+    conn.receive(&begin(1, 1)).expect("well-formed");
+    assert!(conn.stale(17_000.0), "a request that never came to its end");
+    conn.receive(&asking(2, "/ops/page", "a", b"")).expect("well-formed");
+    assert!(!conn.stale(17_000.0), "it awaits an answer");
+    conn.receive(&asking(3, "/ops/page", "b", b"")).expect("well-formed");
+    assert!(conn.answer(3, &Reply::Unchanged) && conn.stale(17_000.0), "it takes none");
+}
+
 #[test]
 fn malformed_records_are_faults_and_bad_fields_are_not() {
     let whole = |bytes: &[u8]| Conn::default().receive(bytes);
