--- a/src/log.rs
+++ b/src/log.rs
@@ -50,9 +50,11 @@
     shared.0.permit(start.elapsed().as_secs_f64())
 }
 
-/// Writes one line to standard error, if the rate allows it.
+/// Writes one line to standard error, if the rate allows it; `always;` first writes it in any case, for lines
+/// that come once or were asked for.
 #[macro_export]
 macro_rules! say {
+    (always; $($part:tt)*) => { eprintln!("frostturn: {}", format_args!($($part)*)) };
     ($($part:tt)*) => {
         match $crate::log::permit() {
             Some(0) => eprintln!("frostturn: {}", format_args!($($part)*)),
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,14 +3,14 @@
 #![forbid(unsafe_code)]
 
 use frostturn::config::Config;
-use frostturn::runtime;
+use frostturn::{runtime, say};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match Config::from_env().and_then(runtime::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("frostturn: cannot start: {reason}");
+            say!(always; "cannot start: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -35,6 +35,9 @@
 /// Longest sleep of the loop.
 const IDLE_MS: Millis = 1000.0;
 
+/// A connect that goes on by itself, on Linux; it has no stable [`ErrorKind`].
+const EINPROGRESS: i32 = 115;
+
 /// What a readiness is of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Source {
@@ -172,7 +175,7 @@
             Err(e) => say!("event loop: {e}"),
         }
     }
-    eprintln!("frostturn: {} ends; {}", config.name, state.reducer.counters);
+    say!(always; "{} ends; {}", config.name, state.reducer.counters);
     Ok(())
 }
 
@@ -210,8 +213,7 @@
 }
 
 fn is_under_way(e: &io::Error) -> bool {
-    // EINPROGRESS has no stable kind of its own.
-    e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(115)
+    e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(EINPROGRESS)
 }
 
 impl Sock {
@@ -265,7 +267,7 @@
     fn turn(&mut self) {
         for signal in std::mem::take(&mut self.signals) {
             match signal {
-                Signal::SIGUSR1 => eprintln!("frostturn: {}", self.reducer.counters),
+                Signal::SIGUSR1 => say!(always; "{}", self.reducer.counters),
                 _ => {
                     say!("told to end; {} requests are open", self.reducer.open());
                     self.inbox.push(Input::Terminate);
