Reread the config on SIGHUP and follow the notice board to its new address

Cause: run() in src/runtime.rs registered SIGTERM, SIGINT and SIGUSR1 alone, so SIGHUP did what it does by default. Now the file is read again: the limits and the board are taken over, the poll goes on at the new board from the last whole event, a bad file changes nothing and says so in one line.

--- a/src/back.rs
+++ b/src/back.rs
@@ -119,6 +119,11 @@
         Self { links, on, next: 0, next_probe: 0, dial_ms, idle_ms, streams: streams.max(1), most }
     }
 
+    /// Takes over another bound on all connections; those beyond it end as they fall idle.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Queues an attempt. The connection, and whether it is new and to be dialled; `None`: there is no room.
     pub fn send(
         &mut self,
--- a/src/board.rs
+++ b/src/board.rs
@@ -249,6 +249,15 @@
         Ok(list)
     }
 
+    /// The board is at another address: a poll that is out is forgotten, and the new one is asked at once for
+    /// what follows the last whole event.
+    pub fn moved(&mut self, now: Millis) {
+        self.failures = 0;
+        self.due = now;
+        self.bytes.clear();
+        self.polled = None;
+    }
+
     /// The poll has failed: the list stands, and it is resumed from the last event, the first time at once.
     pub fn failed(&mut self, now: Millis) {
         let [first, most] = BACKOFF_MS;
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -71,6 +71,8 @@
     lists,
     /// Purges.
     purges,
+    /// Configs read anew.
+    reloads,
     /// Notice-board polls that failed.
     board_faults,
     /// Client connections closed for a malformed record.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -249,6 +249,11 @@
         }
     }
 
+    /// What it decides by.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Takes one event in and appends what is to be done, in order.
     ///
     /// What is unknown is ignored, but for a request: one that nothing can serve is answered at once.
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -355,6 +355,16 @@
         }
     }
 
+    /// What the module decides by.
+    pub fn settings(&self) -> &Settings {
+        self.module.settings()
+    }
+
+    /// Takes over other limits of the network side.
+    pub fn set_net(&mut self, net: Net) {
+        self.net = net;
+    }
+
     /// Whether clients can be served: there are machines to serve from, and no end in sight.
     pub fn ready(&self) -> bool {
         let serving = self.members.values().any(|member| member.phase == Phase::Serving);
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -107,6 +107,8 @@
     /// Bytes of requests that are still coming in, and the most there may be.
     coming: usize,
     most_coming: usize,
+    /// Where the config has it listen.
+    listens: SocketAddr,
     board_at: SocketAddr,
     board: Option<(Sock, Vec<u8>)>,
     follower: Follower,
@@ -125,7 +127,7 @@
     let mut events: EventLoop<'static, Runtime> =
         EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1]);
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("signals: {e}"))?;
     let noted =
         |event: calloop::signals::Event, (): &mut (), state: &mut Runtime| state.signals.push(event.signal());
@@ -157,6 +159,7 @@
         link_socks: BTreeMap::new(),
         coming: 0,
         most_coming: (config.net.memory as f64 * COMING_IN) as usize,
+        listens: config.listen,
         board_at: config.board,
         board: None,
         follower: Follower::new(config.rev),
@@ -268,6 +271,7 @@
         for signal in std::mem::take(&mut self.signals) {
             match signal {
                 Signal::SIGUSR1 => say!(always; "{}", self.reducer.counters),
+                Signal::SIGHUP => self.reload(Config::from_env()),
                 _ => {
                     say!("told to end; {} requests are open", self.reducer.open());
                     self.inbox.push(Input::Terminate);
@@ -660,6 +664,28 @@
         }
     }
 
+    /// SIGHUP: takes over what can change while serving. A config that can't be read changes nothing.
+    fn reload(&mut self, config: Result<Config, String>) {
+        let config = match config {
+            Ok(config) => config,
+            Err(why) => return say!(always; "the new config is not taken, the old one stays: {why}"),
+        };
+        self.reducer.counters.reloads += 1;
+        say!(always; "config read anew; the board is at {}", config.board);
+        if config.listen != self.listens || config.settings != *self.reducer.settings() {
+            say!(always; "a new listen address or new settings take effect at the next start");
+        }
+        self.most_coming = (config.net.memory as f64 * COMING_IN) as usize;
+        self.reducer.set_net(config.net);
+        self.links.set_most(self.reducer.most_links());
+        if config.board != self.board_at {
+            // The old board tells nothing more: what it has begun to say is asked for again, at the new one.
+            self.board_at = config.board;
+            self.drop_board();
+            self.follower.moved(self.now());
+        }
+    }
+
     /// A poll is due, or the one that is out has taken too long.
     fn poll_board(&mut self) {
         if self.follower.waiting() {
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -43,9 +43,10 @@
     address: String,
 }
 
-fn start(test: &str, machine: &str) -> Served {
+/// A config and where it is kept.
+fn config(test: &str, machine: &str, board: &str) -> std::path::PathBuf {
     let json = format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","board":"127.0.0.1:1",
+        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","board":"{board}",
         "limits":{{"memory_mb":192,"sockets":256}},"known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"snapshot":true,
         "endpoints":[{{"name":"s-1","address":"{machine}","zone":"east","type":"std","status":"active"}}]}}}}]}},
         "settings":{{"Az":"east","Localities":["east"],"MachineTypes":["std"],"Limits":{{"MostTries":2}},
@@ -53,6 +54,11 @@
     );
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}.json"));
     std::fs::write(&path, json).expect("written");
+    path
+}
+
+fn start(test: &str, machine: &str) -> Served {
+    let path = config(test, machine, "127.0.0.1:1");
     let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn"))
         .env("PROXY_CONFIG", path)
         .env_remove("PROXY_LISTEN")
@@ -71,10 +77,23 @@
 }
 
 impl Served {
+    fn signal(&self, name: &str) {
+        let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(killed.expect("kill runs").success());
+    }
+
+    /// The next line with these words.
+    fn line(&mut self, words: &str) {
+        let mut line = String::new();
+        while !line.contains(words) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "it ended early");
+        }
+    }
+
     /// Ends it with a signal; what it logged.
     fn end(mut self) -> String {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
-        assert!(killed.expect("kill runs").success());
+        self.signal("-TERM");
         let mut text = String::new();
         self.log.read_to_string(&mut text).expect("a log");
         assert!(self.child.wait().expect("it ends").success(), "{text}");
@@ -156,6 +175,28 @@
     assert!(log.contains("taken=2 ") && log.contains("refused=2 "), "{log}");
 }
 
+#[test]
+fn a_new_config_moves_the_board_and_a_bad_one_changes_nothing() {
+    // Without a handler the signal ends the process, with all that is open on it.
+    let machine = machine(|_| "DONE");
+    let mut served = start("reloads", &machine);
+    let mut stream = TcpStream::connect(&served.address).expect("it listens");
+    ask(&mut stream, 1, "/alive", "");
+    answer(&mut stream, 1);
+    let board = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let path = config("reloads", &machine, &board.local_addr().expect("bound").to_string());
+    served.signal("-HUP");
+    let (mut poll, mut first) = (board.accept().expect("it polls the new board").0, [0; 26]);
+    poll.read_exact(&mut first).expect("readable");
+    assert_eq!(&first, b"GET /board/poll?watch=1&li", "from the last event that it has");
+    std::fs::write(path, "{").expect("written");
+    served.signal("-HUP");
+    served.line("the new config is not taken, the old one stays");
+    ask(&mut stream, 2, "/ops/page", "00000000000000a2");
+    assert!(answer(&mut stream, 2).starts_with("Status: 200 "), "the same connection serves on");
+    assert!(served.end().contains(" reloads=1 "));
+}
+
 #[test]
 fn a_bad_config_ends_the_start_with_one_line() {
     let output = Command::new(env!("CARGO_BIN_EXE_frostturn"))
