Close silent, half-done and idle client connections, and shed them when descriptors are short

Cause: clients that ask once and keep their connection held their descriptors for 15 s (STALE_MS in src/front.rs); at the cap accept() in src/runtime.rs only paused, so usual clients waited in the backlog. Now idle ones end after 4.5 s, a first request must be whole in 2 s, and at the cap the silent and then the longest idle ones are closed. The listen backlog is 1,024. With it, what bad clients send: fields are checked strictly, a body too big is answered at once and thrown away, a request taken back in one breath is never told, an open request's id isn't taken twice, and what a burst took of memory is given back.

--- a/src/bytes.rs
+++ b/src/bytes.rs
@@ -1,5 +1,8 @@
 //! Bytes that have come and are not yet read: the part that the codecs share.
 
+/// Room that is kept where nothing is left unread.
+const KEPT: usize = 16 * 1024;
+
 /// Bytes in the order in which they came.
 #[derive(Debug, Default)]
 pub struct Bytes {
@@ -19,8 +22,15 @@
         &self.bytes[self.at..]
     }
 
-    /// So much of it has been read.
+    /// So much of it has been read. Room that one burst took isn't kept: there are hundreds of these.
     pub fn advance(&mut self, bytes: usize) {
         self.at = (self.at + bytes).min(self.bytes.len());
+        if self.at == self.bytes.len() {
+            self.at = 0;
+            self.bytes.clear();
+            if self.bytes.capacity() > KEPT {
+                self.bytes = Vec::new();
+            }
+        }
     }
 }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -77,8 +77,10 @@
     board_faults,
     /// Client connections closed for a malformed record.
     client_faults,
-    /// Client connections closed since nothing moved on them for long.
+    /// Client connections closed since their client was silent, deaf or gone.
     clients_stale,
+    /// Idle or silent ones closed early, to make room for others.
+    clients_shed,
     /// Shelf connections closed for an unreadable frame.
     shelf_faults,
     /// Connections opened to machines.
--- a/src/fastcgi.rs
+++ b/src/fastcgi.rs
@@ -70,6 +70,11 @@
         self.bytes.feed(bytes);
     }
 
+    /// Bytes of a record that isn't whole yet.
+    pub fn pending(&self) -> usize {
+        self.bytes.rest().len()
+    }
+
     /// The next whole record.
     pub fn next_record(&mut self) -> Result<Option<Record>, Fault> {
         let rest = self.bytes.rest();
--- a/src/front.rs
+++ b/src/front.rs
@@ -7,38 +7,82 @@
 
 /// Requests open on one connection.
 const MAX_OPEN: usize = 32;
-/// Bytes of a request's parameters, and of its body.
-const MAX_PARAMS: usize = 64 * 1024;
-const MAX_BODY: usize = 256 * 1024;
+/// Bytes of a request's parameters, and of its body: one write brings up to 48,000.
+const MAX_PARAMS: usize = 16 * 1024;
+const MAX_BODY: usize = 64 * 1024;
+/// Bytes of requests that were turned away before their end, which are read and thrown away.
+const MAX_THROWN: usize = 64 << 20;
+/// The largest part's number, group, size and time that a request may name.
+const MAX_PIECE: u64 = 1 << 20;
+const MAX_GROUP: u64 = 255;
+const MAX_SIZE_KB: f64 = 1e8;
+const MAX_TIMEOUT_MS: f64 = 1e6;
 /// With more than that unwritten, nothing more is read: a client that doesn't read isn't heard.
 const MAX_UNWRITTEN: usize = 1 << 20;
 
-/// Clients close idle connections after 4 s. One on which nothing has moved for so long, and which awaits no
-/// answer or takes none, has lost its client; it would hold its descriptor for ever.
-const STALE_MS: Millis = 15_000.0;
+/// A connection's first request is whole by then, and each other one so long after its beginning.
+const WHOLE_MS: Millis = 2000.0;
+/// Clients close idle connections after 4 s. One that is idle for longer has lost its client, or is kept for
+/// good; it would hold its descriptor for ever.
+const IDLE_MS: Millis = 4500.0;
+/// A client that has taken nothing of what it is owed for longer than any waits for an answer is gone.
+const DEAF_MS: Millis = 6000.0;
+/// So young a connection isn't shed: its first bytes may be there, unread.
+const YOUNG_MS: Millis = 50.0;
 
 /// What a connection brings.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Heard {
-    /// A request begins.
-    Begun(u64),
-    /// A request is whole.
-    Asked(u64, Result<Ask, &'static str>),
+    /// A request is whole, so long after its beginning; or it is turned away, whole or not.
+    Asked(u64, Result<Ask, &'static str>, Millis),
     /// Somebody asks whether this router is ready.
     Health(u64),
     /// The client has stopped waiting for it.
     Aborted(u64),
 }
 
+/// What has come of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Params,
+    Body,
+    /// All of it: its answer is awaited.
+    Whole,
+    /// It is turned away; the rest is thrown away.
+    TurnedAway,
+}
+
 #[derive(Debug)]
 struct Open {
     serial: u64,
     keep: bool,
+    begun: Millis,
     params: Vec<u8>,
-    params_over: bool,
     body: Vec<u8>,
-    asked: bool,
-    too_big: bool,
+    stage: Stage,
+}
+
+impl Open {
+    fn coming(&self) -> bool {
+        matches!(self.stage, Stage::Params | Stage::Body)
+    }
+
+    /// It comes no further: what it held is let go of.
+    fn leave(&mut self, stage: Stage) -> (Vec<u8>, Vec<u8>) {
+        self.stage = stage;
+        (std::mem::take(&mut self.params), std::mem::take(&mut self.body))
+    }
+}
+
+/// How a connection stands with the clock.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Standing {
+    /// All is well.
+    Good,
+    /// Requests that should have been whole by now, and are turned away.
+    Late(Vec<Heard>),
+    /// Its client is silent, deaf or gone.
+    Over,
 }
 
 /// One client connection.
@@ -53,82 +97,109 @@
     unwritten: usize,
     taken_back: usize,
     holding: usize,
+    thrown: usize,
+    opened: Millis,
     moved: Millis,
+    /// Some request has come whole.
+    asked: bool,
     closing: bool,
 }
 
 impl Conn {
+    /// A connection that was accepted now.
+    pub fn new(now: Millis) -> Self {
+        Self { opened: now, moved: now, ..Self::default() }
+    }
+
     /// Takes bytes in. After a fault the connection is to be closed.
-    pub fn receive(&mut self, bytes: &[u8]) -> Result<Vec<Heard>, Fault> {
+    pub fn receive(&mut self, now: Millis, bytes: &[u8]) -> Result<Vec<Heard>, Fault> {
+        self.moved = now;
         self.decoder.feed(bytes);
         let mut heard = Vec::new();
         while let Some(record) = self.decoder.next_record()? {
-            heard.extend(self.record(record)?);
+            let Some(one) = self.record(now, record)? else { continue };
+            // Asked for and taken back in one breath: nobody else needs to know of it.
+            let same =
+                |other: &Heard| matches!((other, &one), (Heard::Asked(a, ..), Heard::Aborted(b)) if a == b);
+            match heard.iter().position(same) {
+                Some(at) => drop(heard.remove(at)),
+                None => heard.push(one),
+            }
         }
         Ok(heard)
     }
 
-    fn record(&mut self, record: Record) -> Result<Option<Heard>, Fault> {
+    fn record(&mut self, now: Millis, record: Record) -> Result<Option<Heard>, Fault> {
         let Record { kind: what, request, content } = record;
         if request == 0 {
             self.manage(what, &content)?;
             return Ok(None);
         }
         if what == kind::BEGIN {
-            return self.begin(request, &content);
+            return self.begin(now, request, &content);
         }
         if what == kind::ABORT && !self.open.contains_key(&request) {
             self.unqueue(request);
         }
-        // Records of a request that is answered or unknown are late, and passed over.
-        let Some(open) = self.open.get_mut(&request) else { return Ok(None) };
-        match what {
-            kind::ABORT => {
-                let (serial, held) = (open.serial, open.params.len() + open.body.len());
-                self.holding -= if open.asked { 0 } else { held };
+        let Some(open) =
+            self.open.get_mut(&request).filter(|open| open.stage != Stage::TurnedAway || what == kind::ABORT)
+        else {
+            // Records of a request that is answered, turned away or unknown are late, and passed over; but
+            // not for ever.
+            self.thrown += content.len();
+            let endless = self.thrown > MAX_THROWN;
+            return if endless { Err(Fault::Malformed("a body without end")) } else { Ok(None) };
+        };
+        match (what, open.stage) {
+            (kind::ABORT, _) => {
+                let serial = open.serial;
+                self.holding -= open.params.len() + open.body.len();
                 self.open.remove(&request);
-                Ok(Some(Heard::Aborted(serial)))
+                Ok(Some(Heard::Aborted(serial))) // Also one turned away: no answer after this.
             }
-            kind::PARAMS if open.params_over => Err(Fault::Malformed("parameters after their end")),
-            kind::PARAMS if content.is_empty() => {
-                open.params_over = true;
+            (kind::PARAMS, Stage::Params) if content.is_empty() => {
+                open.stage = Stage::Body;
                 Ok(None)
             }
-            kind::PARAMS => {
-                if open.params.len() + content.len() > MAX_PARAMS {
-                    return Err(Fault::Malformed("too many parameters"));
-                }
+            (kind::PARAMS, Stage::Params) if open.params.len() + content.len() > MAX_PARAMS => {
+                Err(Fault::Malformed("too many parameters"))
+            }
+            (kind::PARAMS, Stage::Params) => {
                 open.params.extend_from_slice(&content);
                 self.holding += content.len();
                 Ok(None)
             }
-            kind::STDIN if !open.params_over || open.asked => Err(Fault::Malformed("a body out of place")),
-            kind::STDIN if !content.is_empty() => {
-                open.too_big |= open.body.len() + content.len() > MAX_BODY;
-                if !open.too_big {
-                    open.body.extend_from_slice(&content);
-                    self.holding += content.len();
-                }
+            (kind::PARAMS, _) => Err(Fault::Malformed("parameters after their end")),
+            (kind::STDIN, Stage::Body) if open.body.len() + content.len() > MAX_BODY => {
+                // Answered now: its end may be far away, or never come.
+                let serial = open.serial;
+                let (params, body) = open.leave(Stage::TurnedAway);
+                self.holding -= params.len() + body.len();
+                self.asked = true;
+                Ok(Some(Heard::Asked(serial, Err("the body is too big"), 0.0)))
+            }
+            (kind::STDIN, Stage::Body) if !content.is_empty() => {
+                open.body.extend_from_slice(&content);
+                self.holding += content.len();
                 Ok(None)
             }
-            kind::STDIN => {
-                open.asked = true;
-                self.holding -= open.params.len() + open.body.len();
-                let pairs = fastcgi::pairs(&open.params)?;
-                let serial = open.serial;
-                if find(&pairs, "SCRIPT_NAME") == Some("/alive") {
+            (kind::STDIN, Stage::Body) => {
+                let (serial, age_ms) = (open.serial, now - open.begun);
+                let (params, body) = open.leave(Stage::Whole);
+                self.holding -= params.len() + body.len();
+                self.asked = true;
+                let pairs = fastcgi::pairs(&params)?;
+                if find(&pairs, "SCRIPT_NAME") == Ok(Some("/alive")) {
                     return Ok(Some(Heard::Health(serial)));
                 }
-                let body = std::mem::take(&mut open.body);
-                let asked = if open.too_big { Err("the body is too big") } else { ask(&pairs, body) };
-                open.params = Vec::new();
-                Ok(Some(Heard::Asked(serial, asked)))
+                Ok(Some(Heard::Asked(serial, ask(&pairs, body), age_ms)))
             }
+            (kind::STDIN, _) => Err(Fault::Malformed("a body out of place")),
             _ => Ok(None),
         }
     }
 
-    fn begin(&mut self, request: u16, content: &[u8]) -> Result<Option<Heard>, Fault> {
+    fn begin(&mut self, now: Millis, request: u16, content: &[u8]) -> Result<Option<Heard>, Fault> {
         let [role_high, role_low, flags, ..] = *content else {
             return Err(Fault::Malformed("a beginning cut short"));
         };
@@ -144,18 +215,16 @@
             return Ok(None);
         }
         self.next_serial += 1;
-        let serial = self.next_serial;
         let open = Open {
-            serial,
+            serial: self.next_serial,
             keep: flags & 1 != 0,
+            begun: now,
             params: Vec::new(),
-            params_over: false,
             body: Vec::new(),
-            asked: false,
-            too_big: false,
+            stage: Stage::Params,
         };
         self.open.insert(request, open);
-        Ok(Some(Heard::Begun(serial)))
+        Ok(None)
     }
 
     fn manage(&mut self, what: u8, content: &[u8]) -> Result<(), Fault> {
@@ -229,20 +298,40 @@
         self.taken_back += bytes;
     }
 
-    /// Bytes have come or gone.
-    pub fn touch(&mut self, now: Millis) {
-        self.moved = now;
+    /// How it stands with the clock. A client is owed word or a close soon, and descriptors are few.
+    pub fn standing(&mut self, now: Millis) -> Standing {
+        let awaits = self.open.values().any(|open| !open.coming());
+        let silent = !self.asked && self.unwritten == 0 && now - self.opened > WHOLE_MS;
+        let idle = self.open.is_empty() && self.unwritten == 0 && now - self.moved > IDLE_MS;
+        let deaf = self.unwritten > 0 && now - self.moved > DEAF_MS;
+        if idle || deaf || (silent && !awaits) {
+            return Standing::Over;
+        }
+        let mut late = Vec::new();
+        for open in self.open.values_mut().filter(|open| open.coming() && now - open.begun > WHOLE_MS) {
+            let (params, body) = open.leave(Stage::TurnedAway);
+            self.holding -= params.len() + body.len();
+            late.push(Heard::Asked(open.serial, Err("it never came whole"), 0.0));
+        }
+        if late.is_empty() {
+            Standing::Good
+        } else {
+            Standing::Late(late)
+        }
     }
 
-    /// Whether its client is taken to be gone.
-    pub fn stale(&self, now: Millis) -> bool {
-        let awaits = self.open.values().any(|open| open.asked);
-        now - self.moved > STALE_MS && (!awaits || self.unwritten > 0)
+    /// Its place among those to be shed when descriptors are short, first to last: those that have never asked
+    /// anything, then the longest idle ones. `None`: it is in use, or too young to tell.
+    pub fn spare(&self, now: Millis) -> Option<(bool, u64)> {
+        let since = if self.asked { self.moved } else { self.opened };
+        let awaits = self.open.values().any(|open| !open.coming());
+        let used = awaits || self.unwritten > 0 || (self.asked && !self.open.is_empty());
+        (!used && now - since > YOUNG_MS).then_some((self.asked, since as u64))
     }
 
     /// Bytes of requests that are still coming in.
     pub fn holding(&self) -> usize {
-        self.holding
+        self.holding + self.decoder.pending()
     }
 
     /// Bytes that were taken back since the last call.
@@ -256,7 +345,8 @@
     }
 
     /// So many of them have been written.
-    pub fn wrote(&mut self, bytes: usize) {
+    pub fn wrote(&mut self, now: Millis, bytes: usize) {
+        self.moved = now;
         self.written += bytes;
         self.unwritten -= bytes;
         if self.out.front().is_some_and(|(_, record)| self.written >= record.len()) {
@@ -281,9 +371,15 @@
     }
 }
 
-fn find<'a>(pairs: &[(&'a [u8], &'a [u8])], name: &str) -> Option<&'a str> {
-    let (_, value) = pairs.iter().find(|(given, _)| *given == name.as_bytes())?;
-    std::str::from_utf8(value).ok().filter(|value| !value.is_empty())
+/// The one value of a parameter; `None` where it is absent or empty.
+fn find<'a>(pairs: &[(&'a [u8], &'a [u8])], name: &'static str) -> Result<Option<&'a str>, &'static str> {
+    let mut given = pairs.iter().filter(|(given, _)| *given == name.as_bytes());
+    let first = given.next().map_or(&b""[..], |(_, value)| *value);
+    if given.next().is_some() {
+        return Err("a parameter comes twice"); // Who reads the other one sees another request.
+    }
+    let text = std::str::from_utf8(first).map_err(|_| "a parameter is no text")?;
+    Ok(Some(text).filter(|text| !text.is_empty()))
 }
 
 /// Whether a value can stand in a list of fields on the way to a machine.
@@ -291,32 +387,59 @@
     text.len() <= 128 && text.bytes().all(|byte| byte.is_ascii_graphic() && !b",=".contains(&byte))
 }
 
-/// Reads the fields of a request.
+/// Whether it is an id as the protocol has them.
+fn is_id(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+/// Reads a figure within its bounds; not a number is in none.
+fn figure(text: &str, most: f64, why: &'static str) -> Result<f64, &'static str> {
+    text.parse::<f64>().ok().filter(|figure| (0.0..=most).contains(figure)).ok_or(why)
+}
+
+fn whole(text: &str, most: u64, why: &'static str) -> Result<u64, &'static str> {
+    let digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    text.parse().ok().filter(|number| digits && *number <= most).ok_or(why)
+}
+
+/// Reads the fields of a request. What is out of form goes no further: a machine would answer it with an error,
+/// or end the connection with all that is on it.
 fn ask(pairs: &[(&[u8], &[u8])], body: Vec<u8>) -> Result<Ask, &'static str> {
-    let text = |name: &str| find(pairs, name);
-    let class = text("SCRIPT_NAME").and_then(|path| path.strip_prefix("/ops/")).ok_or("no such path")?;
-    let id = text("HTTP_X_REQUEST_ID").filter(|id| plain(id)).ok_or("X-Request-Id is missing or bad")?;
-    let timeout = text("HTTP_X_TIMEOUT_MS").and_then(|ms| ms.parse::<f64>().ok());
-    let timeout_ms = timeout.filter(|ms| *ms > 0.0 && *ms < 1e9).ok_or("X-Timeout-Ms is missing or bad")?;
-    let object = text("HTTP_X_OBJECT").map(str::to_owned);
-    if object.as_deref().is_some_and(|object| !plain(object)) {
+    let text = |name: &'static str| find(pairs, name);
+    let class = text("SCRIPT_NAME")?.and_then(|path| path.strip_prefix("/ops/")).ok_or("no such path")?;
+    let id = text("HTTP_X_REQUEST_ID")?.filter(|id| is_id(id)).ok_or("X-Request-Id is missing or bad")?;
+    let timeout = text("HTTP_X_TIMEOUT_MS")?.ok_or("X-Timeout-Ms is missing")?;
+    let object = text("HTTP_X_OBJECT")?;
+    if object.is_some_and(|object| !is_id(object)) {
         return Err("X-Object is bad");
     }
-    let piece = text("HTTP_X_CHUNK").map(str::parse::<u64>).transpose().map_err(|_| "X-Chunk is bad")?;
-    let group = text("HTTP_X_TAG").map(str::parse::<u64>).transpose().map_err(|_| "X-Tag is bad")?;
+    let length =
+        text("CONTENT_LENGTH")?.map(|text| whole(text, u64::MAX, "CONTENT_LENGTH is bad")).transpose()?;
+    if length.is_some_and(|length| length != body.len() as u64) {
+        return Err("the body's length is another");
+    }
+    let piece = text("HTTP_X_CHUNK")?.map(|text| whole(text, MAX_PIECE, "X-Chunk is bad")).transpose()?;
+    let group = text("HTTP_X_TAG")?.map(|text| whole(text, MAX_GROUP, "X-Tag is bad")).transpose()?;
     let size =
-        text("HTTP_X_MEMORY_KB").map(str::parse::<f64>).transpose().map_err(|_| "X-Memory-Kb is bad")?;
-    let holds = text("HTTP_X_KNOWN").map(|tag| tag.trim_start_matches("W/").trim_matches('"'));
+        text("HTTP_X_MEMORY_KB")?.map(|text| figure(text, MAX_SIZE_KB, "X-Memory-Kb is bad")).transpose()?;
+    let holds = text("HTTP_X_KNOWN")?.map(|tag| tag.trim_start_matches("W/").trim_matches('"'));
+    if holds.is_some_and(|tag| tag.is_empty() || !plain(tag)) {
+        return Err("X-Known is bad");
+    }
     Ok(Ask {
         id: id.to_owned(),
         class: class.to_owned(),
-        timeout_ms,
-        repeat: text("HTTP_X_RETRY") == Some("1"),
-        object,
+        timeout_ms: figure(timeout, MAX_TIMEOUT_MS, "X-Timeout-Ms is bad")?,
+        repeat: match text("HTTP_X_RETRY")? {
+            None => false,
+            Some("1") => true,
+            Some(_) => return Err("X-Retry is bad"),
+        },
+        object: object.map(str::to_owned),
         piece,
         group: group.unwrap_or(0),
-        size_kb: size.filter(|kb| kb.is_finite() && *kb > 0.0),
-        holds: holds.filter(|tag| plain(tag) && !tag.is_empty()).map(str::to_owned),
+        size_kb: size.filter(|kb| *kb > 0.0),
+        holds: holds.map(str::to_owned),
         body,
     })
 }
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -9,7 +9,7 @@
 use crate::config::Net;
 use crate::counters::Counters;
 use crate::Router;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 /// A request is answered this long before its client gives up: its way back, and a busy core.
@@ -28,10 +28,15 @@
 const SHED_ALL: f64 = 0.45;
 /// Part of the memory limit that bodies of open requests may take.
 const HELD_BODIES: f64 = 0.15;
+/// A client waits at most for its class's deadline; one that says much more can't mean it.
+const MAX_PATIENCE: f64 = 1.5;
+/// Part of the memory limit that all else about open requests may take, and what one takes.
+const HELD_STATE: f64 = 0.15;
+const HELD_EACH: f64 = 4096.0;
 /// A client connection with more than that unsent is slow.
 const SLOW_BYTES: usize = 256 * 1024;
 /// Part of the descriptors for clients (a third is promised) and for machines; the rest is reserved.
-const CLIENT_SHARE: f64 = 0.5;
+const CLIENT_SHARE: f64 = 0.55;
 const MACHINE_SHARE: f64 = 0.3;
 
 /// A request of a client connection.
@@ -310,6 +315,8 @@
     listed: bool,
     held: BTreeMap<Client, Held>,
     clients: HashMap<RequestId, Client>,
+    /// Ids as the clients gave them, of what is held.
+    open_ids: HashSet<String>,
     out: BTreeMap<AttemptKey, Out>,
     next_attempt: AttemptKey,
     dues: BTreeMap<(u64, u64), Due>,
@@ -340,6 +347,7 @@
             listed: false,
             held: BTreeMap::new(),
             clients: HashMap::new(),
+            open_ids: HashSet::new(),
             out: BTreeMap::new(),
             next_attempt: 0,
             dues: BTreeMap::new(),
@@ -477,6 +485,12 @@
     fn asked(&mut self, now: Millis, client: Client, ask: Result<Ask, &'static str>, age_ms: Millis) {
         let known = ask.and_then(|ask| {
             let class = self.classes.get(&ask.class).copied().ok_or("no such class")?;
+            if ask.timeout_ms > MAX_PATIENCE * self.module.settings().classes[class.0].deadline_ms {
+                return Err("nobody waits so long"); // It would be held for ever.
+            }
+            if self.open_ids.contains(&ask.id) {
+                return Err("its id is that of an open request"); // One of the two answers would be the other's.
+            }
             Ok((ask, class))
         });
         let (ask, (class, fragile)) = match known {
@@ -494,7 +508,8 @@
             guard = guard.min(kill);
         }
         let no_room = self.held_bytes + ask.body.len() > (self.net.memory as f64 * HELD_BODIES) as usize;
-        if self.held.len() >= self.net.max_open || no_room || guard <= now {
+        let most = self.net.max_open.min((self.net.memory as f64 * HELD_STATE / HELD_EACH) as usize);
+        if self.held.len() >= most || no_room || guard <= now {
             self.counters.shed += 1;
             self.counters.refused += 1;
             let reply = Reply::Refused { hold_off_ms: None };
@@ -513,6 +528,7 @@
             group: ask.group,
         }));
         self.clients.insert(id.clone(), client);
+        self.open_ids.insert(ask.id.clone());
         self.held_bytes += ask.body.len();
         self.held.insert(client, Held { id, ask: ask.into(), fragile, attempts: 0 });
         self.at(guard, Due::Guard(client));
@@ -531,6 +547,7 @@
     fn release(&mut self, client: Client) -> Option<Held> {
         let held = self.held.remove(&client)?;
         self.held_bytes -= held.ask.body.len();
+        self.open_ids.remove(&held.ask.id);
         Some(held)
     }
 
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -4,7 +4,7 @@
 use crate::back::{self, LinkKey, Links};
 use crate::board::Follower;
 use crate::config::Config;
-use crate::front::{self, Conn};
+use crate::front::{self, Conn, Standing};
 use crate::reducer::{Client, Effect, End, Input, Progress, Reducer};
 use crate::say;
 use calloop::generic::Generic;
@@ -19,21 +19,26 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Bytes read from one connection before others have their turn.
+/// Bytes read from one connection before others have their turn: a machine's, and a client's, whose requests
+/// are small.
 const READ_AT_ONCE: usize = 512 * 1024;
+const READ_CLIENT_AT_ONCE: usize = 64 * 1024;
+/// Connections that may wait to be accepted: hundreds can come together, and one that finds no place here
+/// tries again only after a second.
+const BACKLOG: i32 = 1024;
 /// Connections accepted before others have their turn.
 const ACCEPT_AT_ONCE: usize = 64;
-/// How long to wait before accepting again when descriptors have run out.
-const ACCEPT_PAUSE_MS: Millis = 50.0;
+/// How long to wait before accepting again when there is no descriptor for another connection.
+const ACCEPT_PAUSE_MS: Millis = 20.0;
 /// At the end: how long answers may take to leave, and how long what has left may take to arrive.
 const LAST_WRITES_MS: Millis = 250.0;
 const LAST_READS_MS: Millis = 60.0;
 /// Part of the memory limit that requests which are still coming in may take.
 const COMING_IN: f64 = 0.15;
-/// Time between looks for client connections whose client is gone.
-const SWEEP_MS: Millis = 1000.0;
+/// Time between looks for client connections whose client is silent or gone.
+const SWEEP_MS: Millis = 250.0;
 /// Longest sleep of the loop.
-const IDLE_MS: Millis = 1000.0;
+const IDLE_MS: Millis = SWEEP_MS;
 
 /// A connect that goes on by itself, on Linux; it has no stable [`ErrorKind`].
 const EINPROGRESS: i32 = 115;
@@ -100,7 +105,7 @@
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     accept_from: Option<Millis>,
     sweep_at: Millis,
-    fronts: BTreeMap<u64, (Sock, Conn, BTreeMap<u64, Millis>)>,
+    fronts: BTreeMap<u64, (Sock, Conn)>,
     next_front: u64,
     links: Links,
     link_socks: BTreeMap<LinkKey, Sock>,
@@ -135,8 +140,7 @@
     std::panic::set_hook(Box::new(|panic| say!("{panic}")));
     let start = Instant::now();
     let reducer = Reducer::new(config.settings, config.net.clone(), config.seed, 0.0, unix_ms());
-    let listener = TcpListener::bind(config.listen).map_err(io("listen"))?;
-    listener.set_nonblocking(true).map_err(io("listen"))?;
+    let listener = listen(config.listen).map_err(io("listen"))?;
     let listener = Rc::new(listener);
     let listens = listener.local_addr().map_err(io("listen"))?;
     let token =
@@ -204,6 +208,15 @@
     handle.insert_source(generic, noted).map_err(|e| io::Error::other(e.to_string()))
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_reuse_address(true)?; // Connections from before a restart may still be closing.
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// Starts to connect.
 fn dial(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
@@ -215,6 +228,16 @@
     }
 }
 
+/// What a client's connection has brought, for the reducer.
+fn heard_input(conn: u64, heard: front::Heard) -> Input {
+    let client = |serial| Client { conn, serial };
+    match heard {
+        front::Heard::Asked(serial, ask, age_ms) => Input::Asked { client: client(serial), ask, age_ms },
+        front::Heard::Health(serial) => Input::Health { client: client(serial) },
+        front::Heard::Aborted(serial) => Input::Aborted { client: client(serial) },
+    }
+}
+
 fn is_under_way(e: &io::Error) -> bool {
     e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(EINPROGRESS)
 }
@@ -252,7 +275,7 @@
     }
 
     fn over(&self) -> bool {
-        let flushed = || self.fronts.values().all(|(_, conn, _)| conn.unwritten() == 0);
+        let flushed = || self.fronts.values().all(|(_, conn)| conn.unwritten() == 0);
         self.exit_by.is_some_and(|by| self.now() >= by || flushed())
     }
 
@@ -281,7 +304,7 @@
         for (source, readiness) in std::mem::take(&mut self.ready) {
             let sock = match source {
                 Source::Link(key) => self.link_socks.get_mut(&key),
-                Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, ..)| sock),
+                Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
                 Source::Board => self.board.as_mut().map(|(sock, _)| sock),
                 Source::Listener => None,
             };
@@ -304,11 +327,7 @@
         }
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_MS;
-            let stale = self.fronts.iter().filter(|(_, (_, conn, _))| conn.stale(now));
-            for key in stale.map(|(key, _)| *key).collect::<Vec<_>>() {
-                self.reducer.counters.clients_stale += 1;
-                self.close_front(key);
-            }
+            self.sweep(now);
         }
         if self.follower.due <= self.now() {
             self.poll_board();
@@ -358,8 +377,7 @@
     fn carry_out(&mut self, now: Millis, effect: Effect) {
         match effect {
             Effect::Answer { client, reply } => {
-                if let Some((_, conn, begun)) = self.fronts.get_mut(&client.conn) {
-                    begun.remove(&client.serial);
+                if let Some((_, conn)) = self.fronts.get_mut(&client.conn) {
                     conn.answer(client.serial, &reply);
                     self.dirty.insert(Source::Front(client.conn));
                 }
@@ -529,11 +547,11 @@
 
     fn accept(&mut self) {
         for _ in 0..ACCEPT_AT_ONCE {
-            let Some((listener, _)) = &self.listener else { return };
-            if self.fronts.len() >= self.reducer.most_clients() {
+            if self.fronts.len() >= self.reducer.most_clients() && !self.shed_front() {
                 self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS);
                 return;
             }
+            let Some((listener, _)) = &self.listener else { return };
             let accepted = listener.accept().and_then(|(stream, _)| {
                 stream.set_nonblocking(true)?;
                 stream.set_nodelay(true)?;
@@ -545,15 +563,14 @@
             match accepted {
                 Ok(sock) => {
                     self.next_front += 1;
-                    let mut conn = Conn::default();
-                    conn.touch(self.now());
-                    self.fronts.insert(self.next_front, (sock, conn, BTreeMap::new()));
+                    self.fronts.insert(self.next_front, (sock, Conn::new(self.now())));
                     self.dirty.insert(Source::Front(self.next_front));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted || e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => {
                     say!("cannot accept: {e}");
+                    self.shed_front();
                     self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS);
                     return;
                 }
@@ -562,9 +579,37 @@
         self.dirty.insert(Source::Listener);
     }
 
+    /// Makes room for another client: the silent and then the longest idle ones go first.
+    fn shed_front(&mut self) -> bool {
+        let now = self.now();
+        let spare = self.fronts.iter().filter_map(|(key, (_, conn))| Some((conn.spare(now)?, *key)));
+        let Some((_, key)) = spare.min() else { return false };
+        self.reducer.counters.clients_shed += 1;
+        self.close_front(key);
+        true
+    }
+
+    /// Looks for clients that are silent, deaf or gone, and for requests that should have been whole by now.
+    fn sweep(&mut self, now: Millis) {
+        let mut over = Vec::new();
+        for (key, (_, conn)) in &mut self.fronts {
+            let before = conn.holding();
+            match conn.standing(now) {
+                Standing::Good => {}
+                Standing::Over => over.push(*key),
+                Standing::Late(late) => {
+                    self.inbox.extend(late.into_iter().map(|heard| heard_input(*key, heard)));
+                }
+            }
+            self.coming = self.coming + conn.holding() - before;
+        }
+        self.reducer.counters.clients_stale += over.len() as u64;
+        over.into_iter().for_each(|key| self.close_front(key));
+    }
+
     fn serve_front(&mut self, key: u64) {
         let over = self.read_front(key) || self.write_front(key);
-        if over || self.fronts.get(&key).is_some_and(|(_, conn, _)| conn.over()) {
+        if over || self.fronts.get(&key).is_some_and(|(_, conn)| conn.over()) {
             self.close_front(key);
         }
     }
@@ -574,11 +619,11 @@
         let mut read = 0;
         loop {
             let now = self.now();
-            let Some((sock, conn, begun)) = self.fronts.get_mut(&key) else { return false };
+            let Some((sock, conn)) = self.fronts.get_mut(&key) else { return false };
             if !sock.readable || !conn.listens() {
                 return false;
             }
-            if read > READ_AT_ONCE {
+            if read >= READ_CLIENT_AT_ONCE {
                 self.dirty.insert(Source::Front(key));
                 return false;
             }
@@ -588,59 +633,46 @@
                 Err(_) => return false,
             };
             read += bytes;
-            conn.touch(now);
             let before = conn.holding();
-            let heard = conn.receive(&self.buffer[..bytes]);
+            let heard = conn.receive(now, &self.buffer[..bytes]);
             self.coming = self.coming + conn.holding() - before;
-            if self.coming > self.most_coming {
-                self.reducer.counters.client_faults += 1;
-                say!("no memory for what a client sends");
-                return true;
-            }
             let bytes = conn.taken_back();
             if bytes > 0 {
                 self.inbox.push(Input::Flushed { conn: key, bytes });
             }
-            let heard = match heard {
-                Ok(heard) => heard,
+            match heard {
+                Ok(heard) => self.inbox.extend(heard.into_iter().map(|heard| heard_input(key, heard))),
                 Err(fault) => {
                     self.reducer.counters.client_faults += 1;
                     say!("a client's record can't be read: {fault:?}");
                     return true;
                 }
-            };
-            for heard in heard {
-                let client = |serial| Client { conn: key, serial };
-                self.inbox.push(match heard {
-                    front::Heard::Begun(serial) => {
-                        begun.insert(serial, now);
-                        continue;
-                    }
-                    front::Heard::Asked(serial, ask) => {
-                        let age_ms = begun.get(&serial).map_or(0.0, |began| now - began);
-                        Input::Asked { client: client(serial), ask, age_ms }
-                    }
-                    front::Heard::Health(serial) => Input::Health { client: client(serial) },
-                    front::Heard::Aborted(serial) => {
-                        begun.remove(&serial);
-                        Input::Aborted { client: client(serial) }
-                    }
-                });
+            }
+            if self.coming > self.most_coming {
+                self.relieve();
             }
         }
     }
 
+    /// Requests that are coming in hold too much: the connection that holds most ends.
+    fn relieve(&mut self) {
+        let most = self.fronts.iter().max_by_key(|(_, (_, conn))| conn.holding());
+        let Some(key) = most.map(|(key, _)| *key) else { return };
+        self.reducer.counters.client_faults += 1;
+        say!("no memory for what a client sends");
+        self.close_front(key);
+    }
+
     /// Writes what a client is owed; true if its connection has ended.
     fn write_front(&mut self, key: u64) -> bool {
         let (mut written, now) = (0, self.now());
-        let Some((sock, conn, _)) = self.fronts.get_mut(&key) else { return false };
+        let Some((sock, conn)) = self.fronts.get_mut(&key) else { return false };
         let deaf = !conn.listens();
         let over = loop {
             let Some(bytes) = conn.output().filter(|_| sock.writable) else { break false };
             match sock.write(bytes) {
                 Ok(bytes) => {
-                    conn.wrote(bytes);
-                    conn.touch(now);
+                    conn.wrote(now, bytes);
                     written += bytes;
                 }
                 Err(Io::Over(_)) => break true,
@@ -657,7 +689,7 @@
     }
 
     fn close_front(&mut self, key: u64) {
-        if let Some((sock, conn, _)) = self.fronts.remove(&key) {
+        if let Some((sock, conn)) = self.fronts.remove(&key) {
             self.coming -= conn.holding();
             self.handle.remove(sock.token);
             self.inbox.push(Input::Closed { conn: key });
