Count a broken connection once against its machine, and put few attempts on each

Cause: result() in src/policy.rs counted each attempt of one broken connection as a failure, three in a row eject; up to 16 shared a connection (CROWDED in src/back.rs). Errors answered to what bad clients ask for counted as well (555 such requests). Ruled out: the first-attempt path (99% under 4 ms) and CPU. Now attempts sent before the last counted break count no more; an error counts once another machine has served the request; a connection is crowded from 2 attempts on, up to 8 to a machine, and crowded ones are filled evenly.

--- a/src/back.rs
+++ b/src/back.rs
@@ -10,9 +10,10 @@
 /// A connection with something out that has said nothing for so long gets nothing more: its machine may have
 /// vanished, which nobody tells. A new connection shows it.
 const MUTE_MS: Millis = 500.0;
-/// Attempts on one connection from which another is opened beside it, and connections to one machine.
-const CROWDED: usize = 16;
-const MAX_LINKS: usize = 4;
+/// Attempts on one connection from which another is opened beside it, and connections to one machine. One spoilt
+/// answer ends its connection with all that is on it, so few share one.
+const CROWDED: usize = 2;
+const MAX_LINKS: usize = 8;
 /// Part of the machines' idle time after which a connection is closed from this side, before a request can
 /// cross the close from theirs.
 const IDLE_SHARE: f64 = 0.8;
@@ -163,7 +164,8 @@
         // One that is up goes before one that is dialled, and the less it carries the better; but a crowded
         // one comes last, or each further attempt would have one more dialled.
         let full = |link: &Link| link.open.len() >= CROWDED;
-        let best = fits.min_by_key(|(_, link)| (full(link), link.up.is_none(), link.open.len()));
+        let best =
+            fits.min_by_key(|(_, link)| (full(link), !full(link) && link.up.is_none(), link.open.len()));
         let crowded = best.is_some_and(|(_, link)| full(link)) && count < MAX_LINKS;
         let room = self.links.len() < self.most;
         let (key, new) = match best {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -90,6 +90,8 @@
     ejected_until: Option<Millis>,
     backoff_ms: Millis,
     died: bool,
+    /// When a broken connection last counted against it.
+    broke: Option<Millis>,
     last_ok: Option<Millis>,
     gap: Millis,
 }
@@ -828,7 +830,23 @@
         };
         if let Some(at) = blame {
             self.attempt(&result.id, result.attempt).into_iter().for_each(|out| out.blamed = Some(at));
-            self.failed(now, at, result.outcome, actions);
+            // An error may be the request's own fault: it counts once another machine has served it. What was
+            // on the same broken connection tells nothing new.
+            let told = result.outcome == Outcome::Reset && self.nodes[at].health.broke > Some(sent);
+            if !(told || result.outcome == Outcome::Error && at == cache) {
+                self.failed(now, at, result.outcome, actions);
+            }
+        }
+        if result.outcome == Outcome::Ok {
+            let wrong =
+                |a: &Attempt| a.blamed.filter(|at| a.outcome == Some(Outcome::Error) && *at == a.cache);
+            let wrong: Vec<NodeAt> = self
+                .requests
+                .get(&result.id)
+                .into_iter()
+                .flat_map(|p| p.attempts.iter().filter_map(wrong))
+                .collect();
+            wrong.into_iter().for_each(|at| self.failed(now, at, Outcome::Error, actions));
         }
         self.mark_peer(key.as_ref(), cache, result.outcome, filled && seen);
         if result.last || self.requests.get(&result.id).is_some_and(|pending| pending.done) {
@@ -857,7 +875,8 @@
         health.share -= HEALTH_GAIN * health.share;
         if health.ejected_until.is_some() {
             let died = health.died;
-            *health = Health { last_ok: health.last_ok, gap: health.gap, ..Health::default() };
+            let Health { last_ok, gap, broke, .. } = *health;
+            *health = Health { last_ok, gap, broke, ..Health::default() };
             if died {
                 self.nodes[at].started = Some(now); // Back without word of the list: taken as cold.
                 self.chill(now, at);
@@ -874,6 +893,7 @@
             Outcome::ConnectFailed => 2.0 * HEALTH_GAIN, // Nobody there says more than one that stumbled.
             _ => HEALTH_GAIN,
         };
+        health.broke = if how == Outcome::Reset { Some(now) } else { health.broke };
         health.share += weight * (1.0 - health.share);
         health.died |= how == Outcome::ConnectFailed; // A reset alone may be one lost answer.
         let first = health.ejected_until.is_none();
