End a connection whose answer stops short or says nothing known, and keep swaps apart

Cause: Link::frame in src/back.rs took an unknown word as nothing and missing parts as an empty body; nothing bounded a pause within a frame; what must not be repeated shared connections. Also: attempts are found by their request instead of by looking through all; machines that left are forgotten; moves of unsent attempts are bounded; SIGTERM's patience follows the settings' longest deadline.

--- a/src/back.rs
+++ b/src/back.rs
@@ -10,6 +10,11 @@
 /// A connection with something out that has said nothing for so long gets nothing more: its machine may have
 /// vanished, which nobody tells. A new connection shows it.
 const MUTE_MS: Millis = 500.0;
+/// An answer that has begun comes to its end without a longer pause than that: machines send it once they have it.
+/// One that stops short will never be whole, and hides all that would follow it.
+const STALL_MS: Millis = 300.0;
+/// Times that an unsent attempt moves on when its connection closes.
+const MAX_MOVES: u8 = 3;
 /// Attempts on one connection from which another is opened beside it, and connections to one machine. One spoilt
 /// answer ends its connection with all that is on it, so few share one.
 const CROWDED: usize = 2;
@@ -17,8 +22,8 @@
 /// Part of the machines' idle time after which a connection is closed from this side, before a request can
 /// cross the close from theirs.
 const IDLE_SHARE: f64 = 0.8;
-/// Ids given up whose answers may still be on their way.
-const MAX_STOPPED: usize = 256;
+/// Ids given up or answered under which something may still be on its way.
+const MAX_PAST: usize = 64;
 
 /// A connection's number, never used again.
 pub type LinkKey = u64;
@@ -30,9 +35,9 @@
     Answer(AttemptKey, Answer),
     /// A probe's.
     Probe(CacheId, Outcome, LoadReport),
-    /// One that was given up.
+    /// One that was given up, or another copy of one that has come.
     Late,
-    /// One whose id or word isn't known.
+    /// One whose id isn't known.
     Unknown,
 }
 
@@ -58,6 +63,10 @@
     bytes: Vec<u8>,
     /// The id it opens; a STOP opens none.
     opens: Option<String>,
+    /// It must not be repeated: what it shares a connection with could cost it its answer.
+    alone: bool,
+    /// How often it has moved on from a connection that closed.
+    moves: u8,
 }
 
 #[derive(Debug)]
@@ -73,9 +82,19 @@
     idle: Millis,
     out: VecDeque<Frame>,
     written: usize,
-    open: HashMap<String, (What, Progress)>,
-    stopped: VecDeque<String>,
+    open: HashMap<String, Open>,
+    /// Ids that are no longer open.
+    past: VecDeque<String>,
     decoder: Decoder,
+    /// When something last came.
+    heard: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    what: What,
+    progress: Progress,
+    alone: bool,
 }
 
 impl Link {
@@ -85,14 +104,29 @@
 
     fn takes(&self, now: Millis, address: SocketAddr, id: &str, streams: usize) -> bool {
         let free = self.open.len() < streams && !self.open.contains_key(id);
-        let fresh = !self.stopped.iter().any(|stopped| stopped == id); // Its late answer would be taken for ours.
+        let fresh = !self.past.iter().any(|past| past == id); // Its late answer would be taken for ours.
         free && fresh && !self.retired && !self.mute(now) && self.address == address
     }
 
-    /// When it is to be looked at: a dial takes too long, or it has been idle.
+    /// Whether one more had better go elsewhere.
+    fn full(&self, alone: bool) -> bool {
+        let most = if alone || self.open.values().any(|open| open.alone) { 1 } else { CROWDED };
+        self.open.len() >= most
+    }
+
+    /// An id is no longer open: what still comes under it is no answer to a later request.
+    fn over(&mut self, id: String) {
+        self.past.push_back(id);
+        if self.past.len() > MAX_PAST {
+            self.past.pop_front();
+        }
+    }
+
+    /// When it is to be looked at: a dial takes too long, an answer stops short, or it has been idle.
     fn due(&self, dial_ms: Millis, idle_ms: Millis) -> Option<Millis> {
         match self.up {
             None => Some(self.dialed + dial_ms),
+            Some(_) if self.decoder.midway() => Some(self.heard + STALL_MS),
             Some(_) if !self.open.is_empty() || !self.out.is_empty() => None,
             Some(_) if self.retired => Some(self.idle),
             Some(_) => Some(self.idle + IDLE_SHARE * idle_ms),
@@ -135,7 +169,7 @@
         call: &Call,
     ) -> Option<(LinkKey, bool)> {
         let id = call.ask.id.clone();
-        let frame = Frame { bytes: request(call), opens: Some(id) };
+        let frame = Frame { bytes: request(call), opens: Some(id), alone: call.alone, moves: 0 };
         self.queue(now, What::Attempt(attempt), member, address, frame, true)
     }
 
@@ -143,7 +177,8 @@
     pub fn probe(&mut self, now: Millis, member: &CacheId, address: SocketAddr) -> Option<(LinkKey, bool)> {
         self.next_probe += 1;
         let tag = format!("probe{}", self.next_probe);
-        let frame = Frame { bytes: resp::frame(&[b"STAT", tag.as_bytes()]), opens: Some(tag) };
+        let bytes = resp::frame(&[b"STAT", tag.as_bytes()]);
+        let frame = Frame { bytes, opens: Some(tag), alone: false, moves: 0 };
         self.queue(now, What::Probe, member, address, frame, true)
     }
 
@@ -163,7 +198,7 @@
         let fits = own().filter(|(_, link)| will_do(link) && link.takes(now, address, &id, self.streams));
         // One that is up goes before one that is dialled, and the less it carries the better; but a crowded
         // one comes last, or each further attempt would have one more dialled.
-        let full = |link: &Link| link.open.len() >= CROWDED;
+        let full = |link: &Link| link.full(frame.alone);
         let best =
             fits.min_by_key(|(_, link)| (full(link), !full(link) && link.up.is_none(), link.open.len()));
         let crowded = best.is_some_and(|(_, link)| full(link)) && count < MAX_LINKS;
@@ -184,8 +219,9 @@
                     out: VecDeque::new(),
                     written: 0,
                     open: HashMap::new(),
-                    stopped: VecDeque::new(),
+                    past: VecDeque::new(),
                     decoder: Decoder::default(),
+                    heard: now,
                 };
                 self.links.insert(self.next, link);
                 (self.next, true)
@@ -195,7 +231,7 @@
         if let What::Attempt(attempt) = what {
             self.on.insert(attempt, (key, id.clone()));
         }
-        link.open.insert(id, (what, Progress::NotConnected));
+        link.open.insert(id, Open { what, progress: Progress::NotConnected, alone: frame.alone });
         link.out.push_back(frame);
         Some((key, new))
     }
@@ -205,16 +241,12 @@
     pub fn stop(&mut self, now: Millis, attempt: AttemptKey) -> Option<LinkKey> {
         let (key, id) = self.on.remove(&attempt)?;
         let link = self.links.get_mut(&key)?;
-        let (_, progress) = link.open.remove(&id)?;
-        if progress == Progress::NotConnected {
+        if link.open.remove(&id)?.progress == Progress::NotConnected {
             link.out.retain(|frame| frame.opens.as_ref() != Some(&id));
         } else {
             let bytes = resp::frame(&[b"STOP", id.as_bytes()]);
-            link.out.push_back(Frame { bytes, opens: None });
-            link.stopped.push_back(id);
-            if link.stopped.len() > MAX_STOPPED {
-                link.stopped.pop_front();
-            }
+            link.out.push_back(Frame { bytes, opens: None, alone: false, moves: 0 });
+            link.over(id);
         }
         link.idle = now;
         Some(key)
@@ -236,7 +268,7 @@
     /// Whether nothing but unsent frames is on it, so that it may have been closed unseen.
     pub fn rested(&self, key: LinkKey) -> bool {
         let sent =
-            |link: &Link| link.written > 0 || link.open.values().any(|(_, p)| *p > Progress::NotConnected);
+            |link: &Link| link.written > 0 || link.open.values().any(|o| o.progress > Progress::NotConnected);
         self.links.get(&key).is_some_and(|link| !sent(link))
     }
 
@@ -254,9 +286,9 @@
         let whole = link.written >= frame.bytes.len();
         let progress = if whole { Progress::WrittenWhole } else { Progress::PartlyWritten };
         let open = frame.opens.as_ref().and_then(|id| link.open.get_mut(id));
-        let what = open.map(|(what, had)| {
-            *had = progress;
-            *what
+        let what = open.map(|open| {
+            open.progress = progress;
+            open.what
         });
         if whole {
             link.unheard = link.unheard.or(frame.opens.as_ref().map(|_| now));
@@ -289,8 +321,8 @@
                 Err(fault) => break Some(fault),
             }
         };
-        link.idle = now;
-        let out = link.open.values().any(|(_, progress)| *progress == Progress::WrittenWhole);
+        (link.idle, link.heard) = (now, now);
+        let out = link.open.values().any(|open| open.progress == Progress::WrittenWhole);
         link.unheard = out.then_some(now);
         (heard, fault)
     }
@@ -300,10 +332,12 @@
     pub fn down(&mut self, now: Millis, key: LinkKey) -> Ended {
         let mut ended = Ended::default();
         let Some(mut link) = self.links.remove(&key) else { return ended };
-        for (id, (what, progress)) in std::mem::take(&mut link.open) {
+        for (id, Open { what, progress, .. }) in std::mem::take(&mut link.open) {
             if link.up.is_some() && progress == Progress::NotConnected {
                 let frame = link.out.iter().position(|frame| frame.opens.as_ref() == Some(&id));
-                if let Some(frame) = frame.and_then(|at| link.out.remove(at)) {
+                let frame = frame.and_then(|at| link.out.remove(at)).filter(|frame| frame.moves < MAX_MOVES);
+                if let Some(mut frame) = frame {
+                    frame.moves += 1;
                     let (member, address) = (&link.member, link.address);
                     // Another one that is up may be as dead.
                     if let Some((to, _)) = self.queue(now, what, member, address, frame, false) {
@@ -345,13 +379,18 @@
         old.map(|(key, _)| *key).collect()
     }
 
-    /// Connections that are due to be closed: not up in time, idle for long, retired or mute with nothing on.
-    pub fn expired(&self, now: Millis) -> Vec<LinkKey> {
+    /// Connections that are due to be closed, and why.
+    pub fn expired(&self, now: Millis) -> Vec<(LinkKey, &'static str)> {
         let due = |link: &Link| {
             let empty = link.open.is_empty() && link.out.is_empty();
-            link.due(self.dial_ms, self.idle_ms).is_some_and(|at| at <= now) || (empty && link.mute(now))
+            let passed = link.due(self.dial_ms, self.idle_ms).is_some_and(|at| at <= now);
+            match link.up {
+                None => passed.then_some("not up in time"),
+                Some(_) if link.decoder.midway() => passed.then_some("an answer stopped short"),
+                Some(_) => (passed || (empty && link.mute(now))).then_some("idle"),
+            }
         };
-        self.links.iter().filter(|(_, link)| due(link)).map(|(key, _)| *key).collect()
+        self.links.iter().filter_map(|(key, link)| Some((*key, due(link)?))).collect()
     }
 
     /// When to look for expired ones next.
@@ -370,12 +409,18 @@
         let [id, word, rest @ ..] = frame else { return Err(Fault("an answer is cut short")) };
         let id = std::str::from_utf8(id).map_err(|_| Fault("an id can't be read"))?;
         // An answer to what has not left whole is none: its frame would go on to open the id a second time.
-        let asked = self.open.get(id).filter(|(_, progress)| *progress == Progress::WrittenWhole);
-        let Some((what, _)) = asked.copied() else {
-            let late = self.stopped.iter().position(|stopped| stopped == id);
-            return Ok(late.and_then(|at| self.stopped.remove(at)).map_or(Heard::Unknown, |_| Heard::Late));
+        let asked = self.open.get(id).filter(|open| open.progress == Progress::WrittenWhole);
+        let Some(what) = asked.map(|open| open.what) else {
+            let late = self.past.iter().any(|past| past == id);
+            return Ok(if late { Heard::Late } else { Heard::Unknown });
+        };
+        let (fields, body) = match (what, rest) {
+            (What::Probe, []) => (&b"-"[..], None),
+            (What::Probe, [fields, ..]) => (&fields[..], None),
+            (What::Attempt(_), [fields, body]) => (&fields[..], Some(body)),
+            _ => return Err(Fault("an answer has other parts")),
         };
-        let fields = Fields(rest.first().and_then(|text| std::str::from_utf8(text).ok()).unwrap_or("-"));
+        let fields = Fields(std::str::from_utf8(fields).map_err(|_| Fault("fields can't be read"))?);
         let report = fields.report();
         let outcome = match (what, word.as_slice()) {
             (What::Probe, b"FIT") => Outcome::Ok,
@@ -385,16 +430,17 @@
             (What::Attempt(_), b"WAIT") => Outcome::Full,
             (What::Attempt(_), b"BROKE") => Outcome::Error,
             (What::Attempt(_), b"PAST") => Outcome::Moot,
-            _ => return Ok(Heard::Unknown),
+            _ => return Err(Fault("an answer says nothing that is known")),
         };
         self.open.remove(id);
+        self.over(id.to_owned());
         Ok(match what {
             What::Probe => Heard::Probe(self.member.clone(), outcome, report),
             What::Attempt(attempt) => Heard::Answer(
                 attempt,
                 Answer {
                     outcome,
-                    body: rest.get(1).cloned().unwrap_or_default(),
+                    body: body.cloned().unwrap_or_default(),
                     unchanged: word == b"KEEP",
                     note: fields.get("tell").and_then(note),
                     source_wait_ms: fields.number("took"),
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -28,6 +28,8 @@
 const SHED_ALL: f64 = 0.45;
 /// Part of the memory limit that bodies of open requests may take.
 const HELD_BODIES: f64 = 0.15;
+/// A machine that has left is forgotten after this long: longer than anything still speaks of it.
+const FORGET_MS: Millis = 30_000.0;
 /// A client waits at most for its class's deadline; one that says much more can't mean it.
 const MAX_PATIENCE: f64 = 1.5;
 /// Part of the memory limit that all else about open requests may take, and what one takes.
@@ -96,6 +98,8 @@
     pub ask: std::rc::Rc<Ask>,
     /// What the module decided.
     pub fetch: Fetch,
+    /// It must not be repeated, so that it had better share nothing with others that could break.
+    pub alone: bool,
 }
 
 /// What a machine answered.
@@ -282,7 +286,9 @@
     id: RequestId,
     ask: std::rc::Rc<Ask>,
     fragile: bool,
+    /// Attempts made, and those of them that are out.
     attempts: usize,
+    out: Vec<AttemptKey>,
 }
 
 /// An attempt that is out.
@@ -302,6 +308,8 @@
     address: SocketAddr,
     phase: Phase,
     since: Option<Millis>,
+    /// When it was last told of.
+    told: Millis,
 }
 
 /// All state of a router but that of its connections.
@@ -389,6 +397,11 @@
         (self.net.sockets as f64 * MACHINE_SHARE) as usize
     }
 
+    /// Machines that are known, those that have left lately among them.
+    pub fn known_machines(&self) -> usize {
+        self.members.len()
+    }
+
     /// Requests that are owed an answer.
     pub fn open(&self) -> usize {
         self.held.len()
@@ -465,8 +478,11 @@
             Action::Refuse { id, hold_off_ms } => self.answer(now, &id, Reply::Refused { hold_off_ms }),
             Action::Fail { id } => self.answer(now, &id, Reply::Failed("no way to serve it")),
             Action::Abandon { id, attempt } => {
-                let found = self.out.iter().find(|(_, out)| out.id == id && out.number == attempt);
-                if let Some(key) = found.map(|(key, _)| *key) {
+                // Once a request is answered nothing of it is out.
+                let held = self.clients.get(&id).and_then(|client| self.held.get(client));
+                let out = held.map_or(&[][..], |held| &held.out);
+                let found = out.iter().find(|key| self.out.get(key).is_some_and(|out| out.number == attempt));
+                if let Some(key) = found.copied() {
                     self.stop(now, key, Outcome::Cancelled, Outcome::Moot, false);
                 }
             }
@@ -530,7 +546,7 @@
         self.clients.insert(id.clone(), client);
         self.open_ids.insert(ask.id.clone());
         self.held_bytes += ask.body.len();
-        self.held.insert(client, Held { id, ask: ask.into(), fragile, attempts: 0 });
+        self.held.insert(client, Held { id, ask: ask.into(), fragile, attempts: 0, out: Vec::new() });
         self.at(guard, Due::Guard(client));
     }
 
@@ -540,7 +556,7 @@
         self.counters.aborted += 1;
         self.clients.remove(&held.id);
         self.events.push_back(Event::Dropped { id: held.id });
-        self.stop_all(now, client, Outcome::Cancelled, true);
+        self.stop_all(now, held.out, Outcome::Cancelled, true);
     }
 
     /// Nothing more is owed for a request.
@@ -554,7 +570,7 @@
     /// Gives a final answer; later ones for the same request find nothing.
     fn answer(&mut self, now: Millis, id: &RequestId, reply: Reply) {
         let Some(client) = self.clients.remove(id) else { return };
-        self.release(client);
+        let out = self.release(client).map_or(Vec::new(), |held| held.out);
         match &reply {
             Reply::Served(body) => {
                 *self.buffered.entry(client.conn).or_default() += body.len();
@@ -566,17 +582,18 @@
             Reply::Failed(_) | Reply::Health(_) => self.counters.failed += 1,
         }
         self.effects.push(Effect::Answer { client, reply });
-        self.stop_all(now, client, Outcome::Cancelled, true);
+        self.stop_all(now, out, Outcome::Cancelled, true);
     }
 
     fn send(&mut self, now: Millis, fetch: Fetch) {
         let Some(client) = self.clients.get(&fetch.id).copied() else { return };
         let Some(held) = self.held.get_mut(&client) else { return };
-        let (number, ask) = (held.attempts, held.ask.clone());
+        let (number, ask, alone) = (held.attempts, held.ask.clone(), held.fragile);
         held.attempts += 1;
         self.counters.attempts += 1;
         self.next_attempt += 1;
         let key = self.next_attempt;
+        held.out.push(key);
         let out = Out {
             client,
             id: fetch.id.clone(),
@@ -595,7 +612,7 @@
             self.at(now + fetch.timeout_ms, Due::Limit(key));
         }
         self.at(now + UNSENT_MS, Due::Unsent(key));
-        let (member, call) = (fetch.cache.clone(), Call { ask, fetch });
+        let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone });
         self.effects.push(Effect::Send { attempt: key, member, address, call });
     }
 
@@ -608,8 +625,7 @@
         self.end(now, key, outcome, None, last);
     }
 
-    fn stop_all(&mut self, now: Millis, client: Client, sent: Outcome, last: bool) {
-        let keys: Vec<_> = self.out.iter().filter(|(_, out)| out.client == client).map(|(k, _)| *k).collect();
+    fn stop_all(&mut self, now: Millis, keys: Vec<AttemptKey>, sent: Outcome, last: bool) {
         let unsent = if sent == Outcome::Timeout { Outcome::ConnectFailed } else { Outcome::Moot };
         keys.into_iter().for_each(|key| self.stop(now, key, sent, unsent, last));
     }
@@ -617,6 +633,9 @@
     /// Takes an attempt off the books and reports it to the module.
     fn end(&mut self, now: Millis, key: AttemptKey, outcome: Outcome, answer: Option<&Answer>, last: bool) {
         let Some(out) = self.out.remove(&key) else { return };
+        if let Some(held) = self.held.get_mut(&out.client) {
+            held.out.retain(|other| *other != key);
+        }
         let counters = &mut self.counters;
         *match outcome {
             Outcome::Ok => &mut counters.attempt_ok,
@@ -704,16 +723,17 @@
         if whole {
             for (name, member) in &mut self.members {
                 if !machines.iter().any(|listed| listed.name == name.as_str()) {
-                    member.phase = Phase::Deleted;
+                    (member.phase, member.told) = (Phase::Deleted, now);
                     self.effects.push(Effect::Retire { member: name.clone() });
                 }
             }
         }
+        self.members.retain(|_, member| member.phase != Phase::Deleted || now - member.told < FORGET_MS);
         let mut entries = Vec::with_capacity(machines.len());
         for listed in machines {
             let name = CacheId::from(listed.name.as_str());
             let since = listed.since_unix_ms.map(|ms| ms - self.unix_offset);
-            let now_is = Member { address: listed.address, phase: listed.phase, since };
+            let now_is = Member { address: listed.address, phase: listed.phase, since, told: now };
             let was = self.members.insert(name.clone(), now_is);
             if listed.phase != Phase::Serving {
                 self.effects.push(Effect::Retire { member: name.clone() });
@@ -758,7 +778,9 @@
 
     /// How long after SIGTERM there is time to answer.
     fn patience(&self) -> Millis {
-        STILL_COMING_MS + LONGEST_MS - BEFORE_KILL_MS
+        let longest =
+            self.module.settings().classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+        STILL_COMING_MS + longest.min(LONGEST_MS) - BEFORE_KILL_MS
     }
 
     fn terminate(&mut self, now: Millis) {
@@ -796,10 +818,8 @@
 
     /// A request's time is up: its attempts are, too, and if the module then has no answer, there is one.
     fn guard(&mut self, now: Millis, client: Client) {
-        if !self.held.contains_key(&client) {
-            return;
-        }
-        self.stop_all(now, client, Outcome::Timeout, false);
+        let Some(held) = self.held.get(&client) else { return };
+        self.stop_all(now, held.out.clone(), Outcome::Timeout, false);
         self.settle(now);
         if let Some(held) = self.held.get(&client) {
             let id = held.id.clone();
--- a/src/resp.rs
+++ b/src/resp.rs
@@ -5,7 +5,7 @@
 /// Parts of one frame, at most.
 const MAX_PARTS: usize = 8;
 /// Bytes of one part, at most: an object has 240,000 at most.
-const MAX_PART: usize = 1 << 20;
+const MAX_PART: usize = 256 * 1024;
 /// Bytes of a line that gives a length.
 const MAX_LINE: usize = 16;
 
@@ -30,6 +30,11 @@
         self.bytes.feed(bytes);
     }
 
+    /// Whether a frame has begun and isn't whole yet.
+    pub fn midway(&self) -> bool {
+        self.to_come > 0 || !self.bytes.rest().is_empty()
+    }
+
     /// A line's number, once the line is whole.
     fn line(&mut self, mark: u8, most: usize) -> Result<Option<usize>, Fault> {
         let rest = self.bytes.rest();
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -293,7 +293,12 @@
     fn turn(&mut self) {
         for signal in std::mem::take(&mut self.signals) {
             match signal {
-                Signal::SIGUSR1 => say!(always; "{}", self.reducer.counters),
+                Signal::SIGUSR1 => {
+                    let (clients, links) = (self.fronts.len(), self.links.count());
+                    let (requests, machines) = (self.reducer.open(), self.reducer.known_machines());
+                    say!(always; "now clients={clients} links={links} requests={requests} machines={machines}");
+                    say!(always; "{}", self.reducer.counters);
+                }
                 Signal::SIGHUP => self.reload(Config::from_env()),
                 _ => {
                     say!("told to end; {} requests are open", self.reducer.open());
@@ -322,8 +327,8 @@
         for source in std::mem::take(&mut self.dirty) {
             self.serve(source);
         }
-        for key in self.links.expired(self.now()) {
-            self.link_down(key, "not up in time, or idle");
+        for (key, why) in self.links.expired(self.now()) {
+            self.link_down(key, why);
         }
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_MS;
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -361,7 +361,7 @@
         max_age_ms: Some(15.9),
         keep: Keep::Middle,
     };
-    Call { ask: ask.into(), fetch }
+    Call { ask: ask.into(), fetch, alone: false }
 }
 
 fn reply(id: &str, word: &str) -> Vec<u8> {
@@ -391,7 +391,10 @@
     assert_eq!((answer.outcome, answer.note), (Outcome::Ok, Some(Note::FilledFromOrigin)));
     assert_eq!((answer.source_wait_ms, answer.body.as_slice()), (Some(9.5), &b"bytes\r\n"[..]));
     assert_eq!((answer.report.util, answer.report.link), (Some(0.61), None));
-    assert_eq!(links.receive(9.0, key, &reply("a", "DONE")).0, [Back::Unknown], "nobody waits for it");
+    assert_eq!(links.receive(9.0, key, &reply("a", "DONE")).0, [Back::Late], "a second copy");
+    assert_eq!(links.receive(9.0, key, &reply("never", "DONE")).0, [Back::Unknown], "an id never issued");
+    // Nor would the id go out on it again: what still comes under it would be taken for the answer.
+    assert_ne!(links.send(9.0, 6, &member, address(1), &call("a")).map(|(key, _)| key), Some(key));
     assert!(links.receive(9.0, key, b"*1\r\n$x\r\n").1.is_some());
 }
 
@@ -470,6 +473,11 @@
                     let (id, key) = out[&attempt].clone();
                     let word = ["DONE", "KEEP", "LACK", "WAIT", "BROKE", "HUH"][word];
                     let (heard, fault) = links.receive(now, key, &reply(&id, word));
+                    if word == "HUH" && come.get(&attempt) == Some(&Progress::WrittenWhole) {
+                        // What can't be read ends the connection; here the model goes on with it.
+                        assert!(fault.is_some() && heard.is_empty());
+                        continue;
+                    }
                     assert_eq!(fault, None);
                     match &heard[..] {
                         [Back::Answer(of, _)] if *of == attempt => {
@@ -477,8 +485,8 @@
                             out.remove(&attempt);
                         }
                         // Nothing can be answered that has not left whole.
-                        [Back::Unknown] => {
-                            assert!(word == "HUH" || come.get(&attempt) != Some(&Progress::WrittenWhole))
+                        [Back::Unknown | Back::Late] => {
+                            assert!(come.get(&attempt) != Some(&Progress::WrittenWhole))
                         }
                         other => panic!("{other:?}"),
                     }
@@ -557,17 +565,70 @@
     assert_eq!(ended.moved, carriers);
 }
 
+#[test]
+fn an_answer_that_stops_short_ends_its_connection_and_a_spoilt_one_is_no_answer() {
+    let written = |links: &mut Links, attempt: u64, id: &str| {
+        let (key, _) = links.send(0.0, attempt, &CacheId::from("m"), address(1), &call(id)).expect("room");
+        links.up(0.0, key);
+        let bytes = links.output(key).map_or(0, <[u8]>::len);
+        links.wrote(0.0, key, bytes);
+        key
+    };
+    let mut links = links();
+    let key = written(&mut links, 1, "a");
+    let whole = reply("a", "DONE");
+    // Without a bound, all that is asked on it waits until its time is up.
+    links.receive(100.0, key, &whole[..20]);
+    assert_eq!(links.expired(350.0), vec![]);
+    assert_eq!(links.expired(450.0), [(key, "an answer stopped short")]);
+    assert_eq!(links.down(450.0, key).lost, [(1, Progress::WrittenWhole)], "it may have run");
+    for (at, spoilt) in [
+        resp::frame(&[b"a", b"HUH", b"-", b""]),
+        resp::frame(&[b"a", b"DONE", b"-"]),
+        resp::frame(&[b"a", b"DONE", b"\xff\xfe", b""]),
+        b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$3000000000\r\n".to_vec(),
+        b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$2\r\nlonger".to_vec(),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let key = written(&mut links, 10 + at as u64, "a");
+        let (heard, fault) = links.receive(0.0, key, &spoilt);
+        assert!(heard.is_empty() && fault.is_some(), "{heard:?}");
+        links.down(0.0, key);
+    }
+}
+
+#[test]
+fn what_must_not_be_repeated_shares_no_connection_and_moves_are_bounded() {
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let alone = |id: &str| Call { alone: true, ..call(id) };
+    let keys = [alone("a"), call("b"), call("c"), alone("d")];
+    let keys = keys.iter().zip(1..).map(|(call, at)| links.send(0.0, at, &member, address(1), call));
+    let keys: Vec<u64> = keys.map(|sent| sent.expect("room").0).collect();
+    assert!(keys[1] == keys[2] && keys[0] != keys[1] && keys[3] != keys[1] && keys[0] != keys[3], "{keys:?}");
+    // A machine that takes each connection and closes it must not keep the router busy with dialling.
+    let mut key = keys[0];
+    let moves = (0..20).take_while(|_| {
+        links.up(0.0, key);
+        let ended = links.down(0.0, key);
+        key = ended.moved.first().copied().unwrap_or(0);
+        ended.lost.is_empty()
+    });
+    assert_eq!(moves.count(), 3);
+}
+
 #[test]
 fn connections_end_when_idle_retired_or_not_up_in_time() {
     let (mut links, member) = (links(), CacheId::from("m"));
     let (key, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
-    assert_eq!((links.expired(399.0), links.expired(400.0)), (vec![], vec![key]));
+    assert_eq!((links.expired(399.0), links.expired(400.0)), (vec![], vec![(key, "not up in time")]));
     links.up(10.0, key);
     assert!(links.expired(60_000.0).is_empty(), "it carries something");
     links.stop(50.0, 1);
     assert_eq!(
         (links.expired(23_000.0), links.expired(25_000.0)),
-        (vec![], vec![key]),
+        (vec![], vec![(key, "idle")]),
         "before the machine's time"
     );
     // Addresses are used again: another name, or another address, never shares a connection.
@@ -575,6 +636,6 @@
     assert!(links.send(60.0, 2, &other, address(1), &call("a")).is_some_and(|(_, new)| new));
     assert!(links.send(60.0, 3, &member, address(2), &call("b")).is_some_and(|(_, new)| new));
     links.retire(&member);
-    assert!(links.expired(70.0).contains(&key));
+    assert!(links.expired(70.0).contains(&(key, "idle")));
     assert_eq!(links.older(&other, 61.0).len(), 1);
 }
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -253,6 +253,20 @@
     assert!(!has(&effects, &Effect::Retire { member: "e2".into() }));
 }
 
+#[test]
+fn machines_that_have_left_are_forgotten_some_time_later() {
+    // In service each is replaced under a new name, day after day.
+    let mut rig = Rig::new();
+    for at in 0..300 {
+        for phase in [Phase::Serving, Phase::Deleted] {
+            let machines = vec![listed(&format!("s{at}"), "edge", "east", phase, None)];
+            rig.word(Word::Pool { whole: false, machines });
+        }
+        rig.now += 1000.0;
+    }
+    assert!(rig.reducer.known_machines() < 50, "{}", rig.reducer.known_machines());
+}
+
 #[test]
 fn a_purge_counts_from_when_it_was_made() {
     let mut rig = Rig::new();
