Leave dead parents and caches that turn all away, and make up for answers that never come

At fault in src/policy.rs: failed() passed over each 'full', whatever its note; result() counted every 'full' as a failed fill; check() knew only silent machines. Now a lost source counts, a cache that only turns away is left, a 'full' without note says nothing of fills, and one second copy goes elsewhere when three later and larger requests were filled and answered meanwhile; 3% of requests may have one. What no machine knows isn't remembered. The tables of machines no longer grow; connections leave room for new machines.

--- a/src/back.rs
+++ b/src/back.rs
@@ -19,6 +19,8 @@
 /// answer ends its connection with all that is on it, so few share one.
 const CROWDED: usize = 2;
 const MAX_LINKS: usize = 8;
+/// Part of all connections from which no further one is opened beside others.
+const FURTHER: f64 = 0.75;
 /// Part of the machines' idle time after which a connection is closed from this side, before a request can
 /// cross the close from theirs.
 const IDLE_SHARE: f64 = 0.8;
@@ -199,13 +201,14 @@
         // One that is up goes before one that is dialled, and the less it carries the better; but a crowded
         // one comes last, or each further attempt would have one more dialled.
         let full = |link: &Link| link.full(frame.alone);
-        let best =
-            fits.min_by_key(|(_, link)| (full(link), !full(link) && link.up.is_none(), link.open.len()));
-        let crowded = best.is_some_and(|(_, link)| full(link)) && count < MAX_LINKS;
-        let room = self.links.len() < self.most;
+        let best = fits.min_by_key(|(_, l)| (full(l), !full(l) && l.up.is_none(), l.open.len()));
+        let best = best.map(|(key, link)| (*key, full(link)));
+        // Further connections leave room for first ones to machines that come; at the bound one that rests
+        // makes it.
+        let beside = count < MAX_LINKS && (self.links.len() as f64) < FURTHER * self.most as f64;
         let (key, new) = match best {
-            Some((key, _)) if !(crowded && room) => (*key, false),
-            None if !room => return None,
+            Some((key, crowded)) if !(crowded && beside) => (key, false),
+            None if self.links.len() >= self.most && !self.rest_one(now) => return None,
             _ => {
                 self.next += 1;
                 let link = Link {
@@ -236,6 +239,14 @@
         Some((key, new))
     }
 
+    /// Has the longest idle connection closed; false if none is idle.
+    fn rest_one(&mut self, now: Millis) -> bool {
+        let idle = |link: &&mut Link| link.up.is_some() && link.open.is_empty() && link.out.is_empty();
+        let idle = self.links.values_mut().filter(idle).filter(|link| !link.retired);
+        let first = idle.min_by(|a, b| a.idle.total_cmp(&b.idle));
+        first.map(|link| (link.retired, link.idle) = (true, link.idle.min(now))).is_some()
+    }
+
     /// Gives an attempt up: takes it from the queue if no byte has left, else tells the machine. The
     /// connection that has something to write.
     pub fn stop(&mut self, now: Millis, attempt: AttemptKey) -> Option<LinkKey> {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,7 +19,9 @@
 const NORMAL_GAIN: f64 = 0.1;
 /// Seconds after which an unasked object is forgotten; beyond the most, new ones aren't counted until then.
 const FORGET_S: i64 = 30;
-const MAX_OBJECTS: usize = 100_000;
+const MAX_OBJECTS: usize = 25_000;
+/// When a machine that has left gives up its place in the table.
+const LEFT_MS: Millis = 60_000.0;
 
 /// The forecast's step, and the time between looks at slow attempts: well under a client's patience.
 const SECOND_MS: Millis = 1000.0;
@@ -27,6 +29,8 @@
 /// Share of failures that ejects: half the answers cost a further attempt. Three in a row make it, not two.
 const EJECT_SHARE: f64 = 0.5;
 const HEALTH_GAIN: f64 = 0.22;
+/// Requests turned away in a row from which that counts as failing.
+const TURNED: u32 = 5;
 /// First wait before an ejected machine gets a single trial; doubled by each failed one up to the last.
 const EJECT_MS: Millis = 1000.0;
 const EJECT_MAX_MS: Millis = 8000.0;
@@ -65,13 +69,15 @@
 const COLD_SPEND: f64 = 0.6;
 /// How much younger than a purge a copy must be: clocks and rounding.
 const PURGE_SLACK_MS: Millis = 2.0;
+/// Second copies that a request earns, and the most that are saved up: where more is slow, it is load.
+const COPIES: [f64; 2] = [0.03, 10.0];
 /// Log lines in that time: enough to see what happens, whatever flaps.
 const MAX_LOGS: u32 = 20;
 
 /// What the design page calls an object: what a cache keeps one copy of. With one home for all its pieces, a
 /// popular object would fill that cache's link.
 type Piece = (ObjectId, u64);
-/// A machine's place in the table, whose entries are never removed.
+/// A machine's place in the table.
 type NodeAt = usize;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,6 +96,7 @@
     ejected_until: Option<Millis>,
     backoff_ms: Millis,
     died: bool,
+    turned: u32,
     /// When a broken connection last counted against it.
     broke: Option<Millis>,
     last_ok: Option<Millis>,
@@ -104,6 +111,8 @@
     hash: u64,
     hub_steps: usize,
     listed: bool,
+    /// Since when it isn't.
+    left: Option<Millis>,
     started: Option<Millis>,
     inflight: usize,
     /// While it is cold: sending time that may still be asked of it (a debt, where negative), and since when.
@@ -118,6 +127,8 @@
     busy: Option<Seen>,
     ttfb: Option<Seen>,
     pace: Option<Seen>,
+    /// When the latest filled answers were asked for, and their sending time.
+    filled: [(Millis, Millis); 8],
 }
 
 type Seen = (f64, Millis);
@@ -203,6 +214,8 @@
     arrived: Millis,
     deadline: Millis,
     attempts: Vec<Attempt>,
+    /// A second copy may go out beside the first.
+    copied: bool,
     done: bool,
 }
 
@@ -234,6 +247,8 @@
     /// Shares of first-seen and of seen pieces that needed a fill; of fills that came to nothing.
     miss_share: [f64; 2],
     unfilled: Option<Seen>,
+    /// Second copies that may still be sent.
+    copies: f64,
     logs: u32,
 }
 
@@ -251,11 +266,6 @@
         }
     }
 
-    /// What it decides by.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
     /// Takes one event in and appends what is to be done, in order.
     ///
     /// What is unknown is ignored, but for a request: one that nothing can serve is answered at once.
@@ -296,7 +306,7 @@
             self.nodes.iter_mut().for_each(|node| node.listed = false);
         }
         for entry in entries {
-            let at = self.node(&entry);
+            let at = self.node(now, &entry);
             let node = &mut self.nodes[at];
             node.listed = entry.phase == Phase::Serving;
             node.entry.rating = entry.rating;
@@ -307,17 +317,24 @@
                 self.chill(now, at);
             }
         }
+        for node in &mut self.nodes {
+            node.left = if node.listed { None } else { node.left.or(Some(now)) };
+        }
         self.usual = [Role::Edge, Role::Parent, Role::Origin, Role::Away].map(|role| {
             let fits = |at: &NodeAt| self.nodes[*at].listed && self.nodes[*at].role == role;
             (0..self.nodes.len()).filter(fits).collect()
         });
     }
 
-    fn node(&mut self, entry: &ListEntry) -> NodeAt {
+    fn node(&mut self, now: Millis, entry: &ListEntry) -> NodeAt {
         if let Some(at) = self.known.get(&entry.cache) {
             return *at;
         }
-        self.known.insert(entry.cache.clone(), self.nodes.len());
+        // Machines are replaced under new names for ever; the table must not grow with them.
+        let free = |node: &Node| node.inflight == 0 && node.left.is_some_and(|left| now - left > LEFT_MS);
+        let at = self.nodes.iter().position(free).unwrap_or(self.nodes.len());
+        self.nodes.get(at).and_then(|old| self.known.remove(&old.entry.cache));
+        self.known.insert(entry.cache.clone(), at);
         let settings = &self.settings;
         let role = match Some(&entry.kind) {
             kind if kind == settings.parent_kind.as_ref() => Role::Parent,
@@ -327,19 +344,25 @@
         };
         let place = settings.zones.iter().position(|zone| *zone == entry.zone);
         let hub = |zone: Option<usize>| zone.and_then(|at| settings.zone_hubs.get(at)).copied();
-        self.nodes.push(Node {
+        let node = Node {
             entry: entry.clone(),
             role,
             hash: XxHash64::oneshot(0, entry.cache.as_str().as_bytes()),
             hub_steps: hub(self.place).zip(hub(place)).map_or(0, |(a, b)| a.abs_diff(b)),
             listed: false,
+            left: None,
             started: None,
             inflight: 0,
             budget: (0.0, 0.0),
             health: Health::default(),
             learned: Learned::default(),
-        });
-        self.nodes.len() - 1
+        };
+        match self.nodes.get_mut(at) {
+            Some(place) => *place = node,
+            None => self.nodes.push(node),
+        }
+        self.unready(at);
+        at
     }
 
     /// A machine has started: no ready peer, and on a budget. It begins with a debt, another for each router,
@@ -348,6 +371,10 @@
         let most = self.class_work.iter().copied().fold(0.0, f64::max);
         let phase = XxHash64::oneshot(self.seed, &self.nodes[at].hash.to_le_bytes()) as f64 / u64::MAX as f64;
         self.nodes[at].budget = (-phase * most, now);
+        self.unready(at);
+    }
+
+    fn unready(&mut self, at: NodeAt) {
         for mode in self.objects.values_mut().filter_map(|object| object.mode.as_mut()) {
             mode.ready.retain(|peer| *peer != at);
         }
@@ -424,12 +451,14 @@
             return;
         }
         let seen = self.demand(now, &asked, actions);
+        self.copies = (self.copies + COPIES[0]).min(COPIES[1]);
         if let Some(mean) = self.class_work.get_mut(asked.class) {
             let own = sending_ms(&self.settings, &asked);
             *mean += if *mean == 0.0 { own } else { 0.02 * (own - *mean) };
         }
         let deadline = now + asked.budget_ms.max(0.0);
-        let pending = Pending { asked, seen, arrived: now, deadline, attempts: Vec::new(), done: false };
+        let pending =
+            Pending { asked, seen, arrived: now, deadline, attempts: Vec::new(), copied: false, done: false };
         self.requests.insert(id.clone(), pending);
         self.dispatch(now, &id, actions);
     }
@@ -438,7 +467,12 @@
     fn dispatch(&mut self, now: Millis, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id).filter(|pending| !pending.done) else { return };
         let Some((fetch, attempt)) = self.plan(now, pending) else {
-            return self.give_up(id, actions);
+            // The other copy may still be answered.
+            let out = pending.attempts.iter().any(|attempt| attempt.outcome.is_none());
+            if !out {
+                self.give_up(id, actions);
+            }
+            return;
         };
         let empty = self.warmth(now, &self.nodes[attempt.cache]).is_some();
         let Some(pending) = self.requests.get_mut(id) else { return };
@@ -476,14 +510,25 @@
     }
 
     /// Looks at attempts that have taken long. Slowness alone is crowding, which cutting a transfer short
-    /// would add to; a cache or source that is silent (hung, cut off, gone without word) is left.
+    /// would add to; a silent machine (hung, cut off, gone without word) is left. Another may have lost it.
     fn check(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let mut due = Vec::new();
+        let (mut due, mut lost) = (Vec::new(), Vec::new());
         for (id, pending) in self.requests.iter().filter(|(_, pending)| !pending.done) {
-            let out = |a: &Attempt| a.outcome.is_none() && a.blamed.is_none() && now - a.sent >= a.check;
-            let Some(number) = pending.attempts.iter().position(out) else { continue };
-            let Attempt { cache, source, sent, .. } = pending.attempts[number];
-            due.extend(self.suspect(now, cache, source, sent).map(|at| (id.clone(), number, at)));
+            let out = |a: &Attempt| a.outcome.is_none() && a.blamed.is_none();
+            let late = |a: &Attempt| out(a) && now - a.sent >= a.check;
+            let suspect = |a: &Attempt| self.suspect(now, a.cache, a.source, a.sent).filter(|_| late(a));
+            let silent = pending.attempts.iter().enumerate().find_map(|(n, a)| Some((n, suspect(a)?)));
+            let astray = || pending.attempts.iter().any(|a| out(a) && self.lost(pending, *a));
+            match silent {
+                Some((number, at)) => due.push((id.clone(), number, at)),
+                None => lost.extend(astray().then(|| id.clone())),
+            }
+        }
+        for id in lost {
+            let Some(pending) = self.requests.get_mut(&id).filter(|_| self.copies >= 1.0) else { break };
+            pending.copied = true;
+            self.copies -= 1.0;
+            self.dispatch(now, &id, actions);
         }
         for (id, attempt, at) in due {
             self.attempt(&id, attempt).into_iter().for_each(|out| out.blamed = Some(at));
@@ -518,7 +563,8 @@
         let expected = ttfb + own;
         let crowd = self.crowd(now, cache);
         // Never answered in time, whoever serves it: better no link time spent on it.
-        let hopeless = left <= own || tries >= self.settings.limits.max_attempts;
+        let unknown = !pending.seen && pending.attempts.iter().filter(|a| erred(a)).count() > 1;
+        let hopeless = left <= own || tries >= self.settings.limits.max_attempts || unknown;
         // Overload: what can't be done within its aim is worth little and slows all others.
         let too_late = own * crowd > aim_left.max(class.aim_ms) && crowd > CROWDED;
         if hopeless
@@ -678,7 +724,8 @@
             let picked = spread.iter().skip(1).find(trial).or(turn).copied();
             order.sort_by_key(|at| Some(*at) != picked);
         }
-        let failed = |at: &NodeAt| pending.attempts.iter().any(|a| a.blamed == Some(*at));
+        let slow = |a: &Attempt, at: NodeAt| a.outcome.is_none() && a.cache == at;
+        let failed = |at: &NodeAt| pending.attempts.iter().any(|a| a.blamed == Some(*at) || slow(a, *at));
         order.sort_by_key(failed);
         let untried = order.iter().position(failed).filter(|at| *at > 0);
         order.truncate(untried.unwrap_or(order.len()));
@@ -715,10 +762,21 @@
         pick.or_else(|| abroad().filter(|_| !lost && self.settings.siblings == Siblings::Any)).or(origin)
     }
 
+    /// Whether a copy may go out, as later and larger requests were filled and answered meanwhile.
+    fn lost(&self, pending: &Pending, Attempt { cache, sent, .. }: Attempt) -> bool {
+        let own = sending_ms(&self.settings, &pending.asked);
+        let class = self.settings.classes.get(pending.asked.class);
+        let filled = &self.nodes[cache].learned.filled;
+        let overtaken = filled.iter().filter(|(at, size)| *at > sent && *size >= own).count() > 2;
+        let harmless = class.is_some_and(|class| class.repeat == Repeat::Retryable);
+        overtaken && harmless && self.settings.limits.second_copies && !pending.copied
+    }
+
     /// The one place that decides whether a request may go out again, to this cache.
     fn may_send_again(&self, now: Millis, pending: &Pending, cache: NodeAt) -> bool {
-        if pending.attempts.iter().any(|attempt| attempt.outcome.is_none()) {
-            return false; // Never two at once.
+        let out = pending.attempts.iter().filter(|attempt| attempt.outcome.is_none()).count();
+        if out > usize::from(pending.copied) {
+            return false; // Never two at once, but for one copy where that is allowed.
         }
         let Some(class) = self.settings.classes.get(pending.asked.class) else { return false };
         pending.attempts.iter().filter(|a| may_have_run(a)).all(|ran| match class.repeat {
@@ -744,6 +802,11 @@
             Repeat::Retryable | Repeat::Dedup { scope: DedupScope::All, .. } => true,
             _ => !pending.attempts.iter().any(may_have_run),
         };
+        if !pending.seen && pending.attempts.iter().any(erred) {
+            // It may be something that no machine knows: no demand, and nothing to be remembered.
+            piece(&pending.asked).and_then(|key| self.objects.remove(&key));
+            self.all.current = self.all.current.saturating_sub(1);
+        }
         let id = id.clone();
         self.finish(&id);
         let limits = &self.settings.limits;
@@ -788,7 +851,10 @@
         let guessed = self.settings.detail == Detail::Silent && !seen && result.outcome == Outcome::Ok;
         let filled = guessed || matches!(result.note, Some(Note::Filled | Note::FilledFromOrigin));
         let sourced = result.note.is_some_and(blames_source);
-        let unserved = matches!(result.outcome, Outcome::Full | Outcome::Timeout | Outcome::Error);
+        // A cache that turns all away, as one that drains does, tells nothing of fills.
+        let noted = result.note.is_some() || self.settings.detail != Detail::All;
+        let unserved = matches!(result.outcome, Outcome::Timeout | Outcome::Error)
+            || (result.outcome == Outcome::Full && noted);
         let unfilled = unserved && (sourced || result.outcome != Outcome::Error);
         if cache != source && (filled || unfilled) {
             feed(&mut self.unfilled, now, f64::from(u8::from(!filled)));
@@ -807,6 +873,9 @@
                 self.served[self.nodes[cache].role as usize] += own;
                 self.succeeded(now, cache, actions);
                 if filled {
+                    let latest = &mut self.nodes[cache].learned.filled;
+                    latest.rotate_right(1);
+                    latest[0] = (sent, own);
                     let sending = result.waited_ms - result.source_wait_ms.unwrap_or(0.0);
                     self.served[self.nodes[source].role as usize] += own;
                     self.succeeded(now, source, actions);
@@ -830,22 +899,16 @@
         };
         if let Some(at) = blame {
             self.attempt(&result.id, result.attempt).into_iter().for_each(|out| out.blamed = Some(at));
-            // An error may be the request's own fault: it counts once another machine has served it. What was
-            // on the same broken connection tells nothing new.
+            // An error may be the request's own fault, until another serves it; one break counts once.
             let told = result.outcome == Outcome::Reset && self.nodes[at].health.broke > Some(sent);
             if !(told || result.outcome == Outcome::Error && at == cache) {
-                self.failed(now, at, result.outcome, actions);
+                let lost = result.note == Some(Note::SourceLost);
+                self.failed(now, at, if lost { Outcome::Error } else { result.outcome }, actions);
             }
         }
         if result.outcome == Outcome::Ok {
-            let wrong =
-                |a: &Attempt| a.blamed.filter(|at| a.outcome == Some(Outcome::Error) && *at == a.cache);
-            let wrong: Vec<NodeAt> = self
-                .requests
-                .get(&result.id)
-                .into_iter()
-                .flat_map(|p| p.attempts.iter().filter_map(wrong))
-                .collect();
+            let attempts = self.requests.get(&result.id).map_or(&[][..], |pending| &pending.attempts);
+            let wrong: Vec<NodeAt> = attempts.iter().filter(|a| erred(a)).map(|a| a.cache).collect();
             wrong.into_iter().for_each(|at| self.failed(now, at, Outcome::Error, actions));
         }
         self.mark_peer(key.as_ref(), cache, result.outcome, filled && seen);
@@ -873,6 +936,7 @@
         let last = health.last_ok.replace(now);
         health.gap = last.map_or(GAP_START_MS, |last| health.gap + GAIN * (now - last - health.gap));
         health.share -= HEALTH_GAIN * health.share;
+        health.turned = 0;
         if health.ejected_until.is_some() {
             let died = health.died;
             let Health { last_ok, gap, broke, .. } = *health;
@@ -887,9 +951,13 @@
 
     /// Notes a failure of a machine. A full one, or one whose source is, isn't ill.
     fn failed(&mut self, now: Millis, at: NodeAt, how: Outcome, actions: &mut Vec<Action>) {
-        let health = &mut self.nodes[at].health;
+        let Node { health, role, .. } = &mut self.nodes[at];
         let weight = match how {
-            Outcome::Full => return,
+            // But a cache that only turns away takes nothing: it drains, and the list is late.
+            Outcome::Full if *role != Role::Edge || health.turned < TURNED => {
+                health.turned += 1;
+                return;
+            }
             Outcome::ConnectFailed => 2.0 * HEALTH_GAIN, // Nobody there says more than one that stumbled.
             _ => HEALTH_GAIN,
         };
@@ -939,6 +1007,11 @@
     !attempt.outcome.is_some_and(Outcome::never_ran)
 }
 
+/// Whether a machine failed it by itself. Where each does, the fault may be the request's.
+fn erred(attempt: &Attempt) -> bool {
+    attempt.outcome == Some(Outcome::Error) && attempt.blamed == Some(attempt.cache)
+}
+
 fn blames_source(note: Note) -> bool {
     matches!(note, Note::SourceRefused | Note::SourceLost | Note::SourceLacks | Note::OriginFailed)
 }
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -24,16 +24,16 @@
 /// All is answered this long before SIGKILL can come.
 const BEFORE_KILL_MS: Millis = 300.0;
 /// Answers on their way to clients: part of the memory limit from which slow clients are shed, then all.
-const SHED_SLOW: f64 = 0.25;
-const SHED_ALL: f64 = 0.45;
+const SHED_SLOW: f64 = 0.2;
+const SHED_ALL: f64 = 0.35;
 /// Part of the memory limit that bodies of open requests may take.
-const HELD_BODIES: f64 = 0.15;
+const HELD_BODIES: f64 = 0.1;
 /// A machine that has left is forgotten after this long: longer than anything still speaks of it.
 const FORGET_MS: Millis = 30_000.0;
 /// A client waits at most for its class's deadline; one that says much more can't mean it.
 const MAX_PATIENCE: f64 = 1.5;
 /// Part of the memory limit that all else about open requests may take, and what one takes.
-const HELD_STATE: f64 = 0.15;
+const HELD_STATE: f64 = 0.1;
 const HELD_EACH: f64 = 4096.0;
 /// A client connection with more than that unsent is slow.
 const SLOW_BYTES: usize = 256 * 1024;
@@ -316,6 +316,7 @@
 #[derive(Debug)]
 pub struct Reducer {
     module: Router,
+    settings: Settings,
     classes: HashMap<String, (usize, bool)>,
     net: Net,
     unix_offset: Millis,
@@ -348,7 +349,8 @@
         let classes = settings.classes.iter().enumerate();
         Self {
             classes: classes.map(|(at, class)| (class.name.clone(), (at, fragile(class)))).collect(),
-            module: Router::new(settings, seed, now),
+            module: Router::new(settings.clone(), seed, now),
+            settings,
             net,
             unix_offset: unix_ms - now,
             members: BTreeMap::new(),
@@ -373,7 +375,7 @@
 
     /// What the module decides by.
     pub fn settings(&self) -> &Settings {
-        self.module.settings()
+        &self.settings
     }
 
     /// Takes over other limits of the network side.
@@ -501,7 +503,7 @@
     fn asked(&mut self, now: Millis, client: Client, ask: Result<Ask, &'static str>, age_ms: Millis) {
         let known = ask.and_then(|ask| {
             let class = self.classes.get(&ask.class).copied().ok_or("no such class")?;
-            if ask.timeout_ms > MAX_PATIENCE * self.module.settings().classes[class.0].deadline_ms {
+            if ask.timeout_ms > MAX_PATIENCE * self.settings.classes[class.0].deadline_ms {
                 return Err("nobody waits so long"); // It would be held for ever.
             }
             if self.open_ids.contains(&ask.id) {
@@ -778,8 +780,7 @@
 
     /// How long after SIGTERM there is time to answer.
     fn patience(&self) -> Millis {
-        let longest =
-            self.module.settings().classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+        let longest = self.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
         STILL_COMING_MS + longest.min(LONGEST_MS) - BEFORE_KILL_MS
     }
 
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,7 +5,7 @@
 use crate::board::Follower;
 use crate::config::Config;
 use crate::front::{self, Conn, Standing};
-use crate::reducer::{Client, Effect, End, Input, Progress, Reducer};
+use crate::reducer::{Client, Effect, End, Input, Progress, Reducer, Reply};
 use crate::say;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -34,7 +34,7 @@
 const LAST_WRITES_MS: Millis = 250.0;
 const LAST_READS_MS: Millis = 60.0;
 /// Part of the memory limit that requests which are still coming in may take.
-const COMING_IN: f64 = 0.15;
+const COMING_IN: f64 = 0.1;
 /// Time between looks for client connections whose client is silent or gone.
 const SWEEP_MS: Millis = 250.0;
 /// Longest sleep of the loop.
@@ -383,8 +383,13 @@
         match effect {
             Effect::Answer { client, reply } => {
                 if let Some((_, conn)) = self.fronts.get_mut(&client.conn) {
-                    conn.answer(client.serial, &reply);
+                    let owed = conn.answer(client.serial, &reply);
                     self.dirty.insert(Source::Front(client.conn));
+                    // Taken back by its client in the same turn, it never leaves, and isn't on its way.
+                    let unowed = if owed { None } else { Some(reply) };
+                    if let Some(Reply::Served(body)) = unowed {
+                        self.inbox.push(Input::Flushed { conn: client.conn, bytes: body.len() });
+                    }
                 }
             }
             Effect::Send { attempt, member, address, call } => {
