--- a/src/counters.rs
+++ b/src/counters.rs
@@ -63,7 +63,7 @@
     attempt_pulled,
     /// Answers nobody waited for any more.
     answers_late,
-    /// Answers with an unknown word or id.
+    /// Answers under an id that is not open there.
     answers_unknown,
     /// Probes sent.
     probes,
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -503,7 +503,7 @@
                     }
                     back::Heard::Unknown => {
                         counters.answers_unknown += 1;
-                        say!("an answer with an unknown id or word");
+                        say!("an answer with an unknown id");
                         continue;
                     }
                 });
