Spare a slow origin what it would begin too late, so that its queue stays short

Checked, by a trace of every attempt: hits stay at their 50 ms there, all that goes to the origin waits alike, swaps too: 65 ms up to 1.0 s within 6 s, down slowly, then at once 65 ms again, with the asked bytes unchanged (16 to 30% from the origin). So a queue stands there that a seventh less load would take away. Ruled out: parents (their hits stay quick), second copies, attempts repeated for one object (2%), fills that the other parent holds (3 of 22% of the bytes). At fault: plan() in src/policy.rs sent every miss on, however late the origin would begin it. Now the least of the origin's last four waits is set against what the aim leaves: from 0.6 of it on more and more such requests are taken only where they are held (shallow), and refused at once where they aren't. Swaps go on to the origin and tell when it is over.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,8 @@
 /// Share of fills that fail above which old copies beat the wait for one, and above which fills are dear.
 const DOUBT: f64 = 0.3;
 const SOME_FAIL: f64 = 0.08;
+/// The origin's wait, as a part of what a request's aim leaves for it, from which some aren't sent there.
+const ORIGIN_SLOW: f64 = 0.6;
 /// A machine that sends this many times slower than its best fellow is passed by: more than crowding.
 const LIMPS: f64 = 4.0;
 /// Requests go past a cache that holds this multiple of the transfers that fit at full pace.
@@ -71,8 +73,6 @@
 const PURGE_SLACK_MS: Millis = 2.0;
 /// Second copies that a request earns, and the most saved up: where more is slow, it is load.
 const COPIES: [f64; 2] = [0.02, 10.0];
-/// Log lines in that time: enough to see what happens, whatever flaps.
-const MAX_LOGS: u32 = 20;
 
 /// What the design page calls an object: what a cache keeps one copy of. With one home for all its pieces, a
 /// popular object would fill that cache's link.
@@ -245,9 +245,10 @@
     /// Shares of first-seen and of seen pieces that needed a fill; of fills that came to nothing.
     miss_share: [f64; 2],
     unfilled: Option<Seen>,
+    /// The origin's latest times to first byte, also where a parent asked it: a queue is in all of them.
+    origin_waits: [Seen; 4],
     /// Second copies that may still be sent.
     copies: f64,
-    logs: u32,
 }
 
 impl Router {
@@ -406,7 +407,7 @@
             object.mode = Some(Mode::default());
             self.hot.push(key.clone());
             let text = format!("spread opened for {} at {:.1}/s", key.0, object.counts.mean());
-            self.log(text, actions);
+            actions.push(Action::Log(text));
         }
         seen
     }
@@ -424,13 +425,12 @@
             object.counts.roll(second, true);
             if object.counts.mean() < object.counts.normal.unwrap_or(h / 2.0) {
                 object.mode = None;
-                self.log(format!("spread released for {}", key.0), actions);
+                actions.push(Action::Log(format!("spread released for {}", key.0)));
             } else {
                 self.hot.push(key);
             }
         }
         if second % FORGET_S == 0 {
-            self.logs = 0;
             self.objects.retain(|_, o| o.mode.is_some() || second - o.counts.second <= FORGET_S);
         }
         let gone = now - self.settings.guarantees.purge_gone_ms;
@@ -553,6 +553,10 @@
         // doubt halves every second.
         let failing = self.unfilled.filter(|(share, _)| *share > DOUBT);
         let doomed = failing.map_or(0.0, |(share, at)| share * 0.5_f64.powf((now - at) / SECOND_MS));
+        // What a slow origin would begin too late is only taken where it is held: its queue stays short.
+        let waits = self.origin_waits.iter().filter(|(_, at)| now - at <= RECENT_MS).map(|(wait, _)| *wait);
+        let queue = waits.reduce(f64::min).unwrap_or(0.0) / (aim - own).max(1.0);
+        let doomed = doomed.max((queue - ORIGIN_SLOW) / (1.0 - ORIGIN_SLOW));
         let copy = pending.attempts.iter().any(|a| a.outcome.is_none()); // The origin may be what is slow.
         let held_only = fill > 0.0 && (copy || self.chance(&asked.id) < doomed);
         let look = fill > 0.0 && self.link_full(own);
@@ -565,11 +569,8 @@
         let hopeless = left <= own || tries >= self.settings.limits.max_attempts || unknown;
         // Overload: what can't be done within its aim is worth little and slows all others.
         let too_late = own * crowd > aim_left.max(class.aim_ms) && crowd > CROWDED;
-        if hopeless
-            || too_late
-            || ((look || held_only) && missed)
-            || !self.may_send_again(now, pending, cache)
-        {
+        let nowhere = (look || held_only) && missed;
+        if hopeless || too_late || nowhere || !self.may_send_again(now, pending, cache) {
             return None;
         }
         let patience = (aim_left - expected).max(PATIENCE * (ttfb + own * crowd));
@@ -882,6 +883,10 @@
                     self.succeeded(now, source, actions);
                     let ttfb = result.source_wait_ms.unwrap_or((result.waited_ms - own).max(0.0));
                     feed(&mut self.nodes[source].learned.ttfb, now, ttfb);
+                    if result.note == Some(Note::FilledFromOrigin) {
+                        self.origin_waits.rotate_right(1);
+                        self.origin_waits[0] = (ttfb, now);
+                    }
                     if telling && result.source_wait_ms.is_some() {
                         learn(&mut self.fills_fit, own, sending, self.fills + 1.0);
                         feed(&mut self.nodes[source].learned.pace, now, sending / own);
@@ -946,7 +951,7 @@
                 self.nodes[at].started = Some(now); // Back without word of the list: taken as cold.
                 self.chill(now, at);
             }
-            self.log(format!("{} is back", self.nodes[at].entry.cache), actions);
+            actions.push(Action::Log(format!("{} is back", self.nodes[at].entry.cache)));
         }
     }
 
@@ -972,14 +977,7 @@
         health.backoff_ms = (2.0 * health.backoff_ms).clamp(EJECT_MS, EJECT_MAX_MS);
         health.ejected_until = Some(now + health.backoff_ms);
         if first {
-            self.log(format!("{} ejected", self.nodes[at].entry.cache), actions);
-        }
-    }
-
-    fn log(&mut self, text: String, actions: &mut Vec<Action>) {
-        if self.logs < MAX_LOGS {
-            self.logs += 1;
-            actions.push(Action::Log(text));
+            actions.push(Action::Log(format!("{} ejected", self.nodes[at].entry.cache)));
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -524,3 +524,36 @@
     assert!(refused(&driver.ask(READ, "song")), "nothing is listed any more");
     assert!(refused(&Driver::new(settings, Vec::new()).ask(READ, "song")));
 }
+
+#[test]
+fn a_slow_origin_is_asked_only_for_what_it_can_begin_in_time() {
+    // Seen: an origin short of a seventh of its pace took 1 s to begin all it was asked, swaps too, for ten seconds.
+    let mut driver = Driver::usual();
+    let waits = |driver: &mut Driver, wait: Millis| {
+        for _ in 0..4 {
+            let sent = fetch(&driver.ask(KEYED, "swap"));
+            assert!(!sent.held_only, "what runs at the origin goes there all the same");
+            driver.send(Event::Result(AttemptResult {
+                id: sent.id.clone(),
+                attempt: 0,
+                cache: sent.cache.clone(),
+                outcome: Outcome::Ok,
+                waited_ms: wait + 5.0,
+                last: true,
+                note: Some(Note::FilledFromOrigin),
+                source_wait_ms: Some(wait),
+                report: LoadReport::default(),
+            }));
+        }
+        let asks = (0..40).map(|turn| fetch(&driver.ask(READ, &format!("o{turn} after {wait}"))));
+        asks.collect::<Vec<Fetch>>()
+    };
+    let held = |sent: &[Fetch]| sent.iter().filter(|sent| sent.held_only).count();
+    assert_eq!(held(&waits(&mut driver, 200.0)), 0, "in time by far");
+    let some = held(&waits(&mut driver, 330.0));
+    assert!(some > 5 && some < 35, "nearly late: only some are asked for there, {some}");
+    let late = waits(&mut driver, 500.0);
+    assert_eq!(held(&late), 40, "late in any case");
+    assert!(refused(&driver.end(&late[0], 0, Outcome::Miss, Some(Note::SourceLacks))), "and told so at once");
+    assert_eq!(held(&waits(&mut driver, 50.0)), 0, "over at once");
+}
