Don't hold want of room for a connection against the machine it was for

At fault: carry_out() in src/runtime.rs; the reducer told the module of a failed connect, two of which eject a machine that nobody had asked. Now it ends as End::NoRoom, told as never sent (moot), which blames nobody; the test fails where it is told as before.

--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -126,6 +126,8 @@
     Answer(Answer),
     /// Its connection never came up, or broke.
     Lost(Progress),
+    /// It was not sent, as there was no room for another connection: that says nothing about its machine.
+    NoRoom,
 }
 
 /// What the reducer is told.
@@ -671,6 +673,7 @@
                 return self.end(now, key, Outcome::ConnectFailed, None, false);
             }
             End::Lost(_) => return self.end(now, key, Outcome::Reset, None, false),
+            End::NoRoom => return self.end(now, key, Outcome::Moot, None, false),
             End::Answer(answer) => answer,
         };
         let Some(held) = self.held.get(&client) else { return };
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -395,10 +395,7 @@
             Effect::Send { attempt, member, address, call } => {
                 match self.links.send(now, attempt, &member, address, &call) {
                     Some((key, new)) => self.queued(key, new),
-                    None => {
-                        let end = End::Lost(Progress::NotConnected);
-                        self.inbox.push(Input::Ended { attempt, end });
-                    }
+                    None => self.inbox.push(Input::Ended { attempt, end: End::NoRoom }),
                 }
             }
             Effect::Stop { attempt } => {
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -412,3 +412,21 @@
         assert!(open.is_empty() && rig.reducer.open() == 0);
     }
 }
+
+#[test]
+fn want_of_room_for_a_connection_is_not_held_against_a_machine() {
+    // It was told as a failed connect, and two of these eject a machine.
+    let homes = |end: fn() -> End| {
+        let mut rig = Rig::new();
+        let mut home = || {
+            let (key, fetch) = sent(&rig.ask("read", 4000.0));
+            let (next, _) = sent(&rig.step(Input::Ended { attempt: key, end: end() }));
+            assert_eq!(replies(&rig.answered(next, Outcome::Ok, 5, false)).len(), 1);
+            fetch.cache
+        };
+        let first = home();
+        (1..8).filter(|_| home() == first).count()
+    };
+    assert!(homes(|| End::Lost(Progress::NotConnected)) < 7, "who can't be reached is left");
+    assert_eq!(homes(|| End::NoRoom), 7, "the home stays the home");
+}
