--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,7 +5,7 @@
 use crate::board::Follower;
 use crate::config::Config;
 use crate::front::{self, Conn, Standing};
-use crate::reducer::{Client, Effect, End, Input, Progress, Reducer, Reply};
+use crate::reducer::{Client, Effect, End, Input, Reducer, Reply};
 use crate::say;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
