Bound the time that one answer may take from its first byte to its last

Seen, reading back.rs beside LATER's bad peers: an answer was cut off after a pause of 300 ms midway, but one that comes a byte at a time never pauses that long; within its 256 KB it could hide all that follows on its connection for hours. At fault: Link::due() in src/back.rs looked only at when something last came. Now an answer is whole within 1 s of its beginning, or its connection ends as for one that stops short; answers in turn that share reads each count from their own beginning. Machines write an answer once they have it, so that 240 KB come in some milliseconds. The test fails without the bound ("at 1000").

--- a/src/back.rs
+++ b/src/back.rs
@@ -13,6 +13,8 @@
 /// An answer that has begun comes to its end without a longer pause than that: machines send it once they have it.
 /// One that stops short will never be whole, and hides all that would follow it.
 const STALL_MS: Millis = 300.0;
+/// Nor does one take longer than that in all: a few bytes now and then would otherwise hide what follows for ever.
+const WHOLE_MS: Millis = 1000.0;
 /// Times that an unsent attempt moves on when its connection closes.
 const MAX_MOVES: u8 = 3;
 /// Attempts on one connection from which another is opened beside it, and connections to one machine. One spoilt
@@ -90,6 +92,8 @@
     decoder: Decoder,
     /// When something last came.
     heard: Millis,
+    /// When the answer that is coming began to.
+    begun: Millis,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -128,7 +132,7 @@
     fn due(&self, dial_ms: Millis, idle_ms: Millis) -> Option<Millis> {
         match self.up {
             None => Some(self.dialed + dial_ms),
-            Some(_) if self.decoder.midway() => Some(self.heard + STALL_MS),
+            Some(_) if self.decoder.midway() => Some((self.heard + STALL_MS).min(self.begun + WHOLE_MS)),
             Some(_) if !self.open.is_empty() || !self.out.is_empty() => None,
             Some(_) if self.retired => Some(self.idle),
             Some(_) => Some(self.idle + IDLE_SHARE * idle_ms),
@@ -225,6 +229,7 @@
                     past: VecDeque::new(),
                     decoder: Decoder::default(),
                     heard: now,
+                    begun: now,
                 };
                 self.links.insert(self.next, link);
                 (self.next, true)
@@ -316,9 +321,13 @@
     pub fn receive(&mut self, now: Millis, key: LinkKey, bytes: &[u8]) -> (Vec<Heard>, Option<Fault>) {
         let mut heard = Vec::new();
         let Some(link) = self.links.get_mut(&key) else { return (heard, None) };
+        // The bytes behind a whole frame came with its last ones, now.
+        let mut begins = !link.decoder.midway();
         link.decoder.feed(bytes);
         let fault = loop {
-            match link.decoder.next_frame() {
+            let frame = link.decoder.next_frame();
+            begins |= matches!(frame, Ok(Some(_)));
+            match frame {
                 Ok(Some(frame)) => match link.frame(&frame) {
                     Ok(one) => {
                         if let Heard::Answer(attempt, _) = &one {
@@ -333,6 +342,7 @@
             }
         };
         (link.idle, link.heard) = (now, now);
+        link.begun = if begins { now } else { link.begun };
         let out = link.open.values().any(|open| open.progress == Progress::WrittenWhole);
         link.unheard = out.then_some(now);
         (heard, fault)
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -582,6 +582,17 @@
     assert_eq!(links.expired(350.0), vec![]);
     assert_eq!(links.expired(450.0), [(key, "an answer stopped short")]);
     assert_eq!(links.down(450.0, key).lost, [(1, Progress::WrittenWhole)], "it may have run");
+    // One that comes byte by byte never stops, and isn't whole for just as long; several in turn are.
+    let (drips, turns) = (written(&mut links, 2, "a"), written(&mut links, 3, "b"));
+    for (at, byte) in whole.iter().enumerate().take(20) {
+        let now = 100.0 * at as Millis;
+        links.receive(now, drips, &[*byte]);
+        links.receive(now, turns, &[&whole[if at == 0 { 0 } else { 5 }..], &whole[..5]].concat());
+        let over = if now < 1000.0 { vec![] } else { vec![(drips, "an answer stopped short")] };
+        assert_eq!(links.expired(now), over, "at {now}");
+    }
+    links.down(2000.0, drips);
+    links.down(2000.0, turns);
     for (at, spoilt) in [
         resp::frame(&[b"a", b"HUH", b"-", b""]),
         resp::frame(&[b"a", b"DONE", b"-"]),
