Share the served answer between three of the module's tests

The new tests of the slow origin and of the limping cache repeated the lines of the limping parent's.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -179,6 +179,21 @@
         }))
     }
 
+    /// Its first attempt is answered after so long, of which its source took so much.
+    pub fn served(&mut self, fetch: &Fetch, note: Note, waited_ms: Millis, source_wait_ms: Option<Millis>) {
+        self.send(Event::Result(AttemptResult {
+            id: fetch.id.clone(),
+            attempt: 0,
+            cache: fetch.cache.clone(),
+            outcome: Outcome::Ok,
+            waited_ms,
+            last: true,
+            note: Some(note),
+            source_wait_ms,
+            report: LoadReport::default(),
+        }));
+    }
+
     pub fn serve(&mut self, class: usize, object: &str, note: Note) -> Fetch {
         let fetch = fetch(&self.ask(class, object));
         self.end(&fetch, 0, Outcome::Ok, Some(note));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -465,17 +465,12 @@
         let slow = sent.source == limping;
         late += usize::from(slow && turn >= 10);
         driver.now += 50.0;
-        driver.send(Event::Result(AttemptResult {
-            id: sent.id.clone(),
-            attempt: 0,
-            cache: sent.cache.clone(),
-            outcome: Outcome::Ok,
-            waited_ms: if slow { 2000.0 } else { 120.0 },
-            last: true,
-            note: Some(Note::Filled),
-            source_wait_ms: Some(if slow { 5.0 } else { 20.0 }),
-            report: LoadReport::default(),
-        }));
+        driver.served(
+            &sent,
+            Note::Filled,
+            if slow { 2000.0 } else { 120.0 },
+            Some(if slow { 5.0 } else { 20.0 }),
+        );
     }
     assert_eq!(late, 0, "its first bytes are the quicker ones, and yet");
 }
@@ -533,17 +528,7 @@
         for _ in 0..4 {
             let sent = fetch(&driver.ask(KEYED, "swap"));
             assert!(!sent.held_only, "what runs at the origin goes there all the same");
-            driver.send(Event::Result(AttemptResult {
-                id: sent.id.clone(),
-                attempt: 0,
-                cache: sent.cache.clone(),
-                outcome: Outcome::Ok,
-                waited_ms: wait + 5.0,
-                last: true,
-                note: Some(Note::FilledFromOrigin),
-                source_wait_ms: Some(wait),
-                report: LoadReport::default(),
-            }));
+            driver.served(&sent, Note::FilledFromOrigin, wait + 5.0, Some(wait));
         }
         let asks = (0..40).map(|turn| fetch(&driver.ask(READ, &format!("o{turn} after {wait}"))));
         asks.collect::<Vec<Fetch>>()
@@ -570,17 +555,7 @@
             let there = sent.cache == limping;
             sent_there += usize::from(there);
             driver.now += 20.0;
-            driver.send(Event::Result(AttemptResult {
-                id: sent.id.clone(),
-                attempt: 0,
-                cache: sent.cache.clone(),
-                outcome: Outcome::Ok,
-                waited_ms: if there { 600.0 } else { 30.0 },
-                last: true,
-                note: Some(Note::Hit),
-                source_wait_ms: None,
-                report: LoadReport::default(),
-            }));
+            driver.served(&sent, Note::Hit, if there { 600.0 } else { 30.0 }, None);
         }
         sent_there
     };
