--- /dev/null
+++ b/deploy/operator.example.scm
@@ -0,0 +1,38 @@
+; The operator's file: what this router does beyond the platform's own deployment. Nothing here is on unless its
+; section stands in the file that `frostturn serve --operator FILE` (or FROSTTURN_OPERATOR) names.
+;
+;   frostturn check FILE      reports every fault with line and column, and changes nothing
+;   kill -HUP PID             takes a good file over at once, whole; a bad one changes nothing
+;
+; Times carry their unit: 80ms, 2s, 5m. Text stands in double quotes.
+
+(frostturn
+
+  ; Several addresses for one machine. docs/operators/addresses.md
+  (addresses
+
+    ; Families in the order in which they are tried. One that is left out isn't used, not even if the notice
+    ; board names it. This is the order when none is given.
+    (order unix ipv6 ipv4)
+
+    ; Least and most time before the next way is tried beside one that isn't up yet. In between it is four
+    ; times the mean time to connect. 10ms to 2s (RFC 8305, section 5).
+    (attempt-delay 20ms 80ms)
+
+    ; First and longest pause of a way that has failed: twice as long with each failure in a row, a quarter more
+    ; or less by chance.
+    (pause 250ms 30s)
+
+    ; Dials open at once for one machine (2 at most; 1 while the machine is cold), and in all.
+    (dials-per-machine 2)
+    (dials 64)
+
+    ; checked: a machine says its name in answer to HELO (name=…), and a connection on which another one
+    ; answers carries nothing. ignored: nobody is asked.
+    (names ignored)
+
+    ; Further ways to a machine, beside the notice board's address. At most 7; no two machines share one.
+    (machine "s-00c41f7a"
+      (unix "/run/box/a.sock")
+      (tcp "[::1]:7001")
+      (tcp "127.0.0.1:7001"))))
--- /dev/null
+++ b/src/addresses/race.rs
@@ -0,0 +1,135 @@
+//! The race of dials for one connection (RFC 8305, section 5): staggered starts, the next at once on a refusal,
+//! the first one up wins, the others are closed before anything is written on them.
+
+use super::Endpoint;
+use crate::api::Millis;
+use std::collections::VecDeque;
+
+/// A dial's number, never used again.
+pub type DialKey = u64;
+
+/// A dial that is open.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dial {
+    /// Its number.
+    pub key: DialKey,
+    /// Where to.
+    pub endpoint: Endpoint,
+    /// Since when.
+    pub since: Millis,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Dial there under this number.
+    Start(DialKey, Endpoint),
+    /// Close a dial to make room for the next: it has had its time.
+    Drop(DialKey, Endpoint),
+}
+
+/// A race that is won.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Won {
+    /// The way it goes.
+    pub endpoint: Endpoint,
+    /// Time to connect.
+    pub took_ms: Millis,
+    /// Dials to be closed; true for those that began before the winner, and were overtaken.
+    pub losers: Vec<(DialKey, Endpoint, bool)>,
+}
+
+/// The dials for one connection.
+#[derive(Debug)]
+pub struct Race {
+    waiting: VecDeque<Endpoint>,
+    open: Vec<Dial>,
+    /// Nothing is dialled beside an open dial before then.
+    next_at: Millis,
+    delay: Millis,
+    /// The one whole bound.
+    until: Millis,
+    /// It waits for a free place.
+    blocked: bool,
+}
+
+impl Race {
+    /// A race over `candidates` in their order, `delay` apart, over at `until`.
+    pub fn new(now: Millis, candidates: Vec<Endpoint>, delay: Millis, until: Millis) -> Self {
+        let waiting = candidates.into();
+        Self { waiting, open: Vec::new(), next_at: now, delay, until, blocked: false }
+    }
+
+    /// Starts what is due. `free` is how many more dials may be open now; where none may and this race has one
+    /// that has had its time, that one makes room.
+    pub fn poll(&mut self, now: Millis, mut free: usize, next: &mut DialKey) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.blocked = false;
+        while now < self.until && !self.waiting.is_empty() && (now >= self.next_at || self.open.is_empty()) {
+            if free == 0 {
+                if self.open.is_empty() {
+                    self.blocked = true;
+                    break;
+                }
+                let oldest = self.open.remove(0);
+                steps.push(Step::Drop(oldest.key, oldest.endpoint));
+                free += 1;
+            }
+            let Some(endpoint) = self.waiting.pop_front() else { break };
+            *next += 1;
+            free -= 1;
+            self.open.push(Dial { key: *next, endpoint: endpoint.clone(), since: now });
+            self.next_at = now + self.delay;
+            steps.push(Step::Start(*next, endpoint));
+        }
+        steps
+    }
+
+    /// A dial has failed: the next starts at once. Where it led to; `None`: it isn't of this race.
+    pub fn failed(&mut self, now: Millis, key: DialKey) -> Option<Endpoint> {
+        let at = self.open.iter().position(|dial| dial.key == key)?;
+        self.next_at = now;
+        Some(self.open.remove(at).endpoint)
+    }
+
+    /// A dial is up: the race is over.
+    pub fn won(self, now: Millis, key: DialKey) -> Result<Won, Self> {
+        let Some(winner) = self.open.iter().find(|dial| dial.key == key).cloned() else { return Err(self) };
+        let losers = self.open.into_iter().filter(|dial| dial.key != key);
+        let losers = losers.map(|dial| (dial.key, dial.endpoint, dial.since < winner.since)).collect();
+        Ok(Won { endpoint: winner.endpoint, took_ms: now - winner.since, losers })
+    }
+
+    /// The ways have changed: dials to others are to be closed, and new ways wait behind.
+    pub fn restrict(&mut self, candidates: &[Endpoint]) -> Vec<DialKey> {
+        let (kept, closed): (Vec<Dial>, Vec<Dial>) =
+            std::mem::take(&mut self.open).into_iter().partition(|dial| candidates.contains(&dial.endpoint));
+        self.open = kept;
+        self.waiting.retain(|endpoint| candidates.contains(endpoint));
+        if !closed.is_empty() && self.open.is_empty() && self.waiting.is_empty() {
+            self.waiting.extend(candidates.iter().cloned());
+        }
+        closed.into_iter().map(|dial| dial.key).collect()
+    }
+
+    /// Dials that are open.
+    pub fn open(&self) -> &[Dial] {
+        &self.open
+    }
+
+    /// Whether there is nothing more to wait for.
+    pub fn over(&self, now: Millis) -> bool {
+        now >= self.until || (self.open.is_empty() && self.waiting.is_empty())
+    }
+
+    /// When to look next.
+    pub fn due(&self) -> Millis {
+        if self.open.is_empty() && self.waiting.is_empty() {
+            0.0 // It is over.
+        } else if self.waiting.is_empty() || self.blocked {
+            self.until
+        } else {
+            self.next_at.min(self.until)
+        }
+    }
+}
--- a/src/back.rs
+++ b/src/back.rs
@@ -1,11 +1,14 @@
 //! Connections to machines: what is on which, how far it has come, and which answer is whose.
+//!
+//! Where a machine may be reached is [`crate::addresses`]'s: a connection begins as a race of dials and goes on
+//! over the one that was up first. Frames wait for that, so that no byte is ever on a loser.
 
+use crate::addresses::{Book, DialKey, Endpoint, Failure, Listing, Race, Rules, Step};
 use crate::api::*;
 use crate::config;
 use crate::reducer::{Answer, AttemptKey, Call, Progress};
 use crate::resp::{self, Decoder, Fault};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::net::SocketAddr;
 
 /// A connection with something out that has said nothing for so long gets nothing more: its machine may have
 /// vanished, which nobody tells. A new connection shows it.
@@ -26,9 +29,14 @@
 /// Part of the machines' idle time after which a connection is closed from this side, before a request can
 /// cross the close from theirs.
 const IDLE_SHARE: f64 = 0.8;
+/// A machine says its name within that, or who answers there isn't known.
+const GREET_MS: Millis = 500.0;
 /// Ids given up or answered under which something may still be on its way.
 const MAX_PAST: usize = 64;
 
+/// What a greeting was answered with by another machine than the one that was meant.
+pub const WRONG_NAME: Fault = Fault("another machine answers there");
+
 /// A connection's number, never used again.
 pub type LinkKey = u64;
 
@@ -43,6 +51,8 @@
     Late,
     /// One whose id isn't known.
     Unknown,
+    /// The machine has answered the greeting: the connection may carry work. Stays inside.
+    Greeted,
 }
 
 /// What was on a connection that has ended.
@@ -54,12 +64,51 @@
     pub probes: Vec<CacheId>,
     /// The connections on which the rest goes on: it was up, and no byte of them had left.
     pub moved: BTreeSet<LinkKey>,
+    /// Dials for it that are to be closed.
+    pub dials: Vec<DialKey>,
+    /// Ways that are left alone for it.
+    pub left: Vec<Leave>,
+}
+
+/// Why something was not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unsent {
+    /// There is no room for another connection: that says nothing about the machine.
+    NoRoom,
+    /// No address is known that is its own now.
+    NoPath,
+}
+
+/// What is to be done about dials.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Dialling {
+    /// Dial for a connection.
+    Start(LinkKey, DialKey, Endpoint),
+    /// Close one that isn't wanted any more.
+    Close(DialKey),
+    /// A path is left alone until then.
+    Left(Leave),
+}
+
+/// A path that is left alone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leave {
+    /// Whose.
+    pub member: CacheId,
+    /// Which.
+    pub endpoint: Endpoint,
+    /// Why.
+    pub why: Failure,
+    /// For how long.
+    pub pause_ms: Millis,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum What {
     Attempt(AttemptKey),
     Probe,
+    /// Who is there, and whether it answers at all.
+    Greeting,
 }
 
 #[derive(Debug)]
@@ -76,9 +125,18 @@
 #[derive(Debug)]
 struct Link {
     member: CacheId,
-    address: SocketAddr,
+    /// The way it goes, once it is up.
+    endpoint: Option<Endpoint>,
+    /// The dials for it, until it is up.
+    race: Option<Race>,
     dialed: Millis,
     up: Option<Millis>,
+    /// It carries nothing until its machine has answered a greeting, for which it waits since then.
+    greeting: Option<Millis>,
+    /// It is there to see whether this path works.
+    trial: Option<Endpoint>,
+    /// Its silence was told to the book.
+    blamed: bool,
     retired: bool,
     /// Since when something asked whole has met no sound at all.
     unheard: Option<Millis>,
@@ -108,10 +166,11 @@
         self.unheard.is_some_and(|since| now - since > MUTE_MS)
     }
 
-    fn takes(&self, now: Millis, address: SocketAddr, id: &str, streams: usize) -> bool {
+    fn takes(&self, now: Millis, book: &Book, id: &str, streams: usize) -> bool {
+        let way = self.endpoint.as_ref().is_none_or(|endpoint| book.takes(now, &self.member, endpoint));
         let free = self.open.len() < streams && !self.open.contains_key(id);
         let fresh = !self.past.iter().any(|past| past == id); // Its late answer would be taken for ours.
-        free && fresh && !self.retired && !self.mute(now) && self.address == address
+        free && fresh && way && self.trial.is_none() && !self.retired && !self.mute(now)
     }
 
     /// Whether one more had better go elsewhere.
@@ -129,9 +188,11 @@
     }
 
     /// When it is to be looked at: a dial takes too long, an answer stops short, or it has been idle.
-    fn due(&self, dial_ms: Millis, idle_ms: Millis) -> Option<Millis> {
+    fn due(&self, idle_ms: Millis) -> Option<Millis> {
         match self.up {
-            None => Some(self.dialed + dial_ms),
+            None if self.retired && self.open.is_empty() => Some(self.idle),
+            None => self.race.as_ref().map(Race::due),
+            Some(_) if self.greeting.is_some() => self.greeting.map(|since| since + GREET_MS),
             Some(_) if self.decoder.midway() => Some((self.heard + STALL_MS).min(self.begun + WHOLE_MS)),
             Some(_) if !self.open.is_empty() || !self.out.is_empty() => None,
             Some(_) if self.retired => Some(self.idle),
@@ -144,6 +205,10 @@
 #[derive(Debug)]
 pub struct Links {
     links: BTreeMap<LinkKey, Link>,
+    book: Book,
+    /// Connections that aren't up.
+    racing: BTreeSet<LinkKey>,
+    next_dial: DialKey,
     on: HashMap<AttemptKey, (LinkKey, String)>,
     next: LinkKey,
     next_probe: u64,
@@ -156,8 +221,63 @@
 impl Links {
     /// None yet. `most` bounds them all.
     pub fn new(dial_ms: Millis, idle_ms: Millis, streams: usize, most: usize) -> Self {
-        let (links, on) = (BTreeMap::new(), HashMap::new());
-        Self { links, on, next: 0, next_probe: 0, dial_ms, idle_ms, streams: streams.max(1), most }
+        Self::with_rules(dial_ms, idle_ms, streams, most, None, 0)
+    }
+
+    /// As [`Links::new`], with several addresses to a machine; `seed` draws the jitter of pauses.
+    pub fn with_rules(
+        dial_ms: Millis,
+        idle_ms: Millis,
+        streams: usize,
+        most: usize,
+        rules: Option<Rules>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            links: BTreeMap::new(),
+            book: Book::new(rules, seed),
+            racing: BTreeSet::new(),
+            next_dial: 0,
+            on: HashMap::new(),
+            next: 0,
+            next_probe: 0,
+            dial_ms,
+            idle_ms,
+            streams: streams.max(1),
+            most,
+        }
+    }
+
+    /// The notice board has spoken of a machine.
+    pub fn list(&mut self, member: &CacheId, listing: Listing) {
+        self.book.list(member, listing);
+        self.refresh(Some(member));
+    }
+
+    /// A machine is forgotten.
+    pub fn forget(&mut self, member: &CacheId) {
+        self.book.forget(member);
+        self.refresh(Some(member));
+    }
+
+    /// Takes over other rules: connections over ways that are gone end once they carry nothing.
+    pub fn set_rules(&mut self, rules: Option<Rules>) {
+        self.book.set_rules(rules);
+        self.refresh(None);
+    }
+
+    /// What is known of the ways to machines.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// Connections over ways that are gone are retired.
+    fn refresh(&mut self, member: Option<&CacheId>) {
+        let concerned = |link: &&mut Link| member.is_none_or(|member| link.member == *member);
+        for link in self.links.values_mut().filter(concerned) {
+            let gone = link.endpoint.as_ref().is_some_and(|e| !self.book.lists(&link.member, e));
+            link.retired |= gone;
+        }
     }
 
     /// Takes over another bound on all connections; those beyond it end as they fall idle.
@@ -165,27 +285,26 @@
         self.most = most;
     }
 
-    /// Queues an attempt. The connection, and whether it is new and to be dialled; `None`: there is no room.
+    /// Queues an attempt. The connection, and whether it is new, so that [`Links::poll`] has it dialled.
     pub fn send(
         &mut self,
         now: Millis,
         attempt: AttemptKey,
         member: &CacheId,
-        address: SocketAddr,
         call: &Call,
-    ) -> Option<(LinkKey, bool)> {
+    ) -> Result<(LinkKey, bool), Unsent> {
         let id = call.ask.id.clone();
         let frame = Frame { bytes: request(call), opens: Some(id), alone: call.alone, moves: 0 };
-        self.queue(now, What::Attempt(attempt), member, address, frame, true)
+        self.queue(now, What::Attempt(attempt), member, frame, true)
     }
 
     /// Queues a probe; as [`Links::send`].
-    pub fn probe(&mut self, now: Millis, member: &CacheId, address: SocketAddr) -> Option<(LinkKey, bool)> {
+    pub fn probe(&mut self, now: Millis, member: &CacheId) -> Result<(LinkKey, bool), Unsent> {
         self.next_probe += 1;
         let tag = format!("probe{}", self.next_probe);
         let bytes = resp::frame(&[b"STAT", tag.as_bytes()]);
         let frame = Frame { bytes, opens: Some(tag), alone: false, moves: 0 };
-        self.queue(now, What::Probe, member, address, frame, true)
+        self.queue(now, What::Probe, member, frame, true)
     }
 
     fn queue(
@@ -193,55 +312,153 @@
         now: Millis,
         what: What,
         member: &CacheId,
-        address: SocketAddr,
         frame: Frame,
         old_will_do: bool,
-    ) -> Option<(LinkKey, bool)> {
+    ) -> Result<(LinkKey, bool), Unsent> {
         let id = frame.opens.clone().unwrap_or_default();
         let own = || self.links.iter().filter(|(_, link)| link.member == *member);
-        let count = own().count();
+        let (mut count, mut racing) = (0, 0);
+        for (_, link) in own() {
+            (count, racing) = (count + 1, racing + usize::from(link.up.is_none()));
+        }
         let will_do = |link: &Link| old_will_do || link.up.is_none();
-        let fits = own().filter(|(_, link)| will_do(link) && link.takes(now, address, &id, self.streams));
+        let fits = own().filter(|(_, link)| will_do(link) && link.takes(now, &self.book, &id, self.streams));
         // One that is up goes before one that is dialled, and the less it carries the better; but a crowded
         // one comes last, or each further attempt would have one more dialled.
         let full = |link: &Link| link.full(frame.alone);
         let best = fits.min_by_key(|(_, l)| (full(l), !full(l) && l.up.is_none(), l.open.len()));
         let best = best.map(|(key, link)| (*key, full(link)));
         // Further connections leave room for first ones to machines that come; at the bound one that rests
-        // makes it.
-        let beside = count < MAX_LINKS && (self.links.len() as f64) < FURTHER * self.most as f64;
+        // makes it. Nor are more dialled at once than there are dials to be had.
+        let beside = count < MAX_LINKS
+            && (self.links.len() as f64) < FURTHER * self.most as f64
+            && (racing == 0 || racing < self.book.most_races(now, member));
         let (key, new) = match best {
             Some((key, crowded)) if !(crowded && beside) => (key, false),
-            None if self.links.len() >= self.most && !self.rest_one(now) => return None,
+            None if self.links.len() >= self.most && !self.rest_one(now) => return Err(Unsent::NoRoom),
             _ => {
-                self.next += 1;
-                let link = Link {
-                    member: member.clone(),
-                    address,
-                    dialed: now,
-                    up: None,
-                    retired: false,
-                    unheard: None,
-                    idle: now,
-                    out: VecDeque::new(),
-                    written: 0,
-                    open: HashMap::new(),
-                    past: VecDeque::new(),
-                    decoder: Decoder::default(),
-                    heard: now,
-                    begun: now,
-                };
-                self.links.insert(self.next, link);
-                (self.next, true)
+                let candidates = self.book.candidates(now, member);
+                if candidates.is_empty() {
+                    return Err(Unsent::NoPath);
+                }
+                (self.open(now, member, candidates, false), true)
             }
         };
-        let link = self.links.get_mut(&key)?;
+        let Some(link) = self.links.get_mut(&key) else { return Err(Unsent::NoRoom) };
         if let What::Attempt(attempt) = what {
             self.on.insert(attempt, (key, id.clone()));
         }
         link.open.insert(id, Open { what, progress: Progress::NotConnected, alone: frame.alone });
         link.out.push_back(frame);
-        Some((key, new))
+        Ok((key, new))
+    }
+
+    /// A new connection, to be dialled.
+    fn open(&mut self, now: Millis, member: &CacheId, ways: Vec<Endpoint>, trial: bool) -> LinkKey {
+        self.next += 1;
+        let trial = ways.first().filter(|_| trial).cloned();
+        let delay = self.book.delay(member, ways.first());
+        let link = Link {
+            member: member.clone(),
+            endpoint: None,
+            race: Some(Race::new(now, ways, delay, now + self.dial_ms)),
+            dialed: now,
+            up: None,
+            greeting: None,
+            trial,
+            blamed: false,
+            retired: false,
+            unheard: None,
+            idle: now,
+            out: VecDeque::new(),
+            written: 0,
+            open: HashMap::new(),
+            past: VecDeque::new(),
+            decoder: Decoder::default(),
+            heard: now,
+            begun: now,
+        };
+        self.links.insert(self.next, link);
+        self.racing.insert(self.next);
+        self.next
+    }
+
+    /// What is to be dialled and closed now. To be asked again after each dial that ends.
+    pub fn poll(&mut self, now: Millis) -> Vec<Dialling> {
+        let mut todo = Vec::new();
+        for (member, endpoint) in self.book.trials(now) {
+            if (self.links.len() as f64) < FURTHER * self.most as f64 {
+                self.open(now, &member, vec![endpoint], true);
+            } else {
+                self.book.untried(&member, &endpoint);
+            }
+        }
+        if self.racing.is_empty() {
+            return todo;
+        }
+        let most_in_all = self.book.rules().map_or(usize::MAX, |rules| rules.in_all);
+        let mut in_all = 0;
+        let mut by_member: HashMap<CacheId, usize> = HashMap::new();
+        for link in self.racing.iter().filter_map(|key| self.links.get(key)) {
+            let open = link.race.as_ref().map_or(0, |race| race.open().len());
+            in_all += open;
+            *by_member.entry(link.member.clone()).or_default() += open;
+        }
+        for key in &self.racing {
+            let Some(link) = self.links.get_mut(key) else { continue };
+            let Some(race) = &mut link.race else { continue };
+            let own = by_member.entry(link.member.clone()).or_default();
+            // The ways may have changed since: by the board, a claim, a new file, or another's failure.
+            let ways = match &link.trial {
+                Some(tried) if self.book.own(now, &link.member, tried) => vec![tried.clone()],
+                Some(_) => Vec::new(),
+                None => self.book.candidates(now, &link.member),
+            };
+            for dial in race.restrict(&ways) {
+                (in_all, *own) = (in_all - 1, *own - 1);
+                todo.push(Dialling::Close(dial));
+            }
+            if link.retired {
+                continue;
+            }
+            let most = self.book.most_dials(now, &link.member);
+            let free = most.saturating_sub(*own).min(most_in_all.saturating_sub(in_all));
+            for step in race.poll(now, free, &mut self.next_dial) {
+                match step {
+                    Step::Start(dial, endpoint) => {
+                        (in_all, *own) = (in_all + 1, *own + 1);
+                        todo.push(Dialling::Start(*key, dial, endpoint));
+                    }
+                    Step::Drop(dial, endpoint) => {
+                        (in_all, *own) = (in_all - 1, *own - 1);
+                        todo.push(Dialling::Close(dial));
+                        let leave = left(&mut self.book, now, &link.member, &endpoint, Failure::Overtaken);
+                        todo.extend(leave.map(Dialling::Left));
+                    }
+                }
+            }
+        }
+        todo
+    }
+
+    /// A dial has failed; `None`: for a reason of this side's, which says nothing about the path. To be
+    /// followed by [`Links::poll`].
+    pub fn dial_failed(
+        &mut self,
+        now: Millis,
+        key: LinkKey,
+        dial: DialKey,
+        why: Option<Failure>,
+    ) -> Option<Leave> {
+        let link = self.links.get_mut(&key)?;
+        let endpoint = link.race.as_mut()?.failed(now, dial)?;
+        match why {
+            Some(why) => left(&mut self.book, now, &link.member, &endpoint, why),
+            None => {
+                self.book.untried(&link.member, &endpoint);
+                None
+            }
+        }
     }
 
     /// Has the longest idle connection closed; false if none is idle.
@@ -268,12 +485,39 @@
         Some(key)
     }
 
-    /// A connection is up.
-    pub fn up(&mut self, now: Millis, key: LinkKey) {
-        if let Some(link) = self.links.get_mut(&key) {
-            link.up = Some(now);
-            link.idle = now;
+    /// A dial is up: its connection goes on over it. What is to be closed and left for that; `None`: nobody
+    /// waits for it any more, and it is to be closed itself.
+    pub fn up(&mut self, now: Millis, key: LinkKey, dial: DialKey) -> Option<Vec<Dialling>> {
+        let link = self.links.get_mut(&key)?;
+        let won = match link.race.take()?.won(now, dial) {
+            Ok(won) => won,
+            Err(race) => {
+                link.race = Some(race);
+                return None;
+            }
+        };
+        self.racing.remove(&key);
+        (link.up, link.idle, link.heard) = (Some(now), now, now);
+        self.book.connected(&link.member, &won.endpoint, won.took_ms);
+        link.endpoint = Some(won.endpoint);
+        if link.trial.is_some() || self.book.rules().is_some_and(|rules| rules.names) {
+            self.next_probe += 1;
+            let tag = format!("hello{}", self.next_probe);
+            let bytes = resp::frame(&[b"HELO", tag.as_bytes()]);
+            let progress = Progress::NotConnected;
+            link.open.insert(tag.clone(), Open { what: What::Greeting, progress, alone: false });
+            link.out.push_front(Frame { bytes, opens: Some(tag), alone: false, moves: 0 });
+            link.greeting = Some(now);
+        }
+        let mut todo = Vec::new();
+        for (dial, endpoint, overtaken) in won.losers {
+            todo.push(Dialling::Close(dial));
+            if overtaken {
+                let leave = left(&mut self.book, now, &link.member, &endpoint, Failure::Overtaken);
+                todo.extend(leave.map(Dialling::Left));
+            }
         }
+        Some(todo)
     }
 
     /// Whether a connection is up.
@@ -291,7 +535,11 @@
     /// The next bytes to write.
     pub fn output(&self, key: LinkKey) -> Option<&[u8]> {
         let link = self.links.get(&key).filter(|link| link.up.is_some())?;
-        link.out.front().map(|frame| &frame.bytes[link.written..])
+        let greets = |frame: &&Frame| {
+            let id = frame.opens.as_ref().and_then(|id| link.open.get(id));
+            link.greeting.is_none() || id.is_some_and(|open| open.what == What::Greeting)
+        };
+        link.out.front().filter(greets).map(|frame| &frame.bytes[link.written..])
     }
 
     /// So many of them have been written; the attempt that has come further by it.
@@ -322,14 +570,16 @@
         let mut heard = Vec::new();
         let Some(link) = self.links.get_mut(&key) else { return (heard, None) };
         // The bytes behind a whole frame came with its last ones, now.
-        let mut begins = !link.decoder.midway();
+        let (mut begins, mut answered) = (!link.decoder.midway(), false);
         link.decoder.feed(bytes);
         let fault = loop {
             let frame = link.decoder.next_frame();
             begins |= matches!(frame, Ok(Some(_)));
             match frame {
-                Ok(Some(frame)) => match link.frame(&frame) {
+                Ok(Some(frame)) => match link.frame(&frame, self.book.rules().is_some_and(|r| r.names)) {
+                    Ok(Heard::Greeted) => answered = true,
                     Ok(one) => {
+                        answered |= matches!(one, Heard::Answer(..) | Heard::Probe(..));
                         if let Heard::Answer(attempt, _) = &one {
                             self.on.remove(attempt);
                         }
@@ -341,6 +591,10 @@
                 Err(fault) => break Some(fault),
             }
         };
+        if let Some(endpoint) = link.endpoint.as_ref().filter(|_| answered) {
+            self.book.answered(now, &link.member, endpoint);
+            link.blamed = false;
+        }
         (link.idle, link.heard) = (now, now);
         link.begun = if begins { now } else { link.begun };
         let out = link.open.values().any(|open| open.progress == Progress::WrittenWhole);
@@ -349,19 +603,36 @@
     }
 
     /// A connection has ended, or never came up. What had not begun to leave one that was up moves on to
-    /// another: nothing is known against the machine.
-    pub fn down(&mut self, now: Millis, key: LinkKey) -> Ended {
+    /// another: nothing is known against the machine. `blame` is what it says about its path.
+    pub fn down(&mut self, now: Millis, key: LinkKey, blame: Option<Failure>) -> Ended {
         let mut ended = Ended::default();
         let Some(mut link) = self.links.remove(&key) else { return ended };
+        self.racing.remove(&key);
+        ended.dials =
+            link.race.as_ref().map_or(Vec::new(), |race| race.open().iter().map(|d| d.key).collect());
+        if let Some(race) = link.race.as_ref().filter(|_| !link.retired) {
+            for dial in race.open() {
+                ended.left.extend(left(&mut self.book, now, &link.member, &dial.endpoint, Failure::NotUp));
+            }
+        }
+        if let Some(endpoint) = &link.endpoint {
+            if let Some(why) = blame {
+                ended.left.extend(left(&mut self.book, now, &link.member, endpoint, why));
+            }
+        }
+        if let Some(tried) = &link.trial {
+            self.book.untried(&link.member, tried);
+        }
+        // Another connection that is up may be as dead, unless it goes another way.
+        let other_way =
+            link.endpoint.as_ref().is_some_and(|endpoint| !self.book.takes(now, &link.member, endpoint));
         for (id, Open { what, progress, .. }) in std::mem::take(&mut link.open) {
-            if link.up.is_some() && progress == Progress::NotConnected {
+            if link.up.is_some() && progress == Progress::NotConnected && what != What::Greeting {
                 let frame = link.out.iter().position(|frame| frame.opens.as_ref() == Some(&id));
                 let frame = frame.and_then(|at| link.out.remove(at)).filter(|frame| frame.moves < MAX_MOVES);
                 if let Some(mut frame) = frame {
                     frame.moves += 1;
-                    let (member, address) = (&link.member, link.address);
-                    // Another one that is up may be as dead.
-                    if let Some((to, _)) = self.queue(now, what, member, address, frame, false) {
+                    if let Ok((to, _)) = self.queue(now, what, &link.member, frame, other_way) {
                         ended.moved.insert(to);
                         continue;
                     }
@@ -373,6 +644,7 @@
                     ended.lost.push((attempt, progress));
                 }
                 What::Probe => ended.probes.push(link.member.clone()),
+                What::Greeting => {}
             }
         }
         ended.lost.sort_unstable();
@@ -384,9 +656,61 @@
         self.on.get(&attempt).map(|(key, _)| *key)
     }
 
-    /// Where a connection leads.
-    pub fn address(&self, key: LinkKey) -> Option<SocketAddr> {
-        self.links.get(&key).map(|link| link.address)
+    /// Where a connection leads, once it is up.
+    pub fn endpoint(&self, key: LinkKey) -> Option<&Endpoint> {
+        self.links.get(&key)?.endpoint.as_ref()
+    }
+
+    /// Whose a connection is.
+    pub fn member(&self, key: LinkKey) -> Option<&CacheId> {
+        self.links.get(&key).map(|link| &link.member)
+    }
+
+    /// Dials that are open for a connection, and where they lead.
+    pub fn dials(&self, key: LinkKey) -> Vec<(DialKey, Endpoint)> {
+        let race = self.links.get(&key).and_then(|link| link.race.as_ref());
+        race.map_or(Vec::new(), |race| race.open().iter().map(|d| (d.key, d.endpoint.clone())).collect())
+    }
+
+    /// What has just fallen mute: its path is left, and what has not begun to leave moves to another one. Only
+    /// where machines have several ways; else the next request shows it.
+    pub fn mute(&mut self, now: Millis) -> (Vec<Leave>, BTreeSet<LinkKey>) {
+        let (mut leaves, mut moved) = (Vec::new(), BTreeSet::new());
+        if self.book.rules().is_none() {
+            return (leaves, moved);
+        }
+        let newly = |link: &Link| link.up.is_some() && !link.blamed && link.mute(now);
+        let keys: Vec<LinkKey> =
+            self.links.iter().filter(|(_, link)| newly(link)).map(|(key, _)| *key).collect();
+        for key in keys {
+            let Some(link) = self.links.get_mut(&key) else { continue };
+            link.blamed = true;
+            let (member, Some(endpoint)) = (link.member.clone(), link.endpoint.clone()) else { continue };
+            leaves.extend(left(&mut self.book, now, &member, &endpoint, Failure::Mute));
+            if self.book.takes(now, &member, &endpoint) {
+                continue; // There is no other way.
+            }
+            let waits = |open: &Open| matches!(open.what, What::Attempt(_) | What::Probe);
+            let unsent = link.open.iter().filter(|(_, o)| waits(o) && o.progress == Progress::NotConnected);
+            let unsent: Vec<(String, What)> = unsent.map(|(id, open)| (id.clone(), open.what)).collect();
+            for (id, what) in unsent {
+                let Some(link) = self.links.get_mut(&key) else { break };
+                let at = link.out.iter().position(|f| f.opens.as_ref() == Some(&id) && f.moves < MAX_MOVES);
+                let Some(mut frame) = at.and_then(|at| link.out.remove(at)) else { continue };
+                frame.moves += 1;
+                let back = Frame { bytes: frame.bytes.clone(), opens: frame.opens.clone(), ..frame };
+                let Some(open) = link.open.remove(&id) else { continue };
+                match self.queue(now, what, &member, frame, true) {
+                    Ok((to, _)) => drop(moved.insert(to)),
+                    Err(_) => {
+                        let Some(link) = self.links.get_mut(&key) else { break };
+                        link.open.insert(id, open);
+                        link.out.push_back(back);
+                    }
+                }
+            }
+        }
+        (leaves, moved)
     }
 
     /// A machine leaves: its connections end once they carry nothing.
@@ -404,9 +728,11 @@
     pub fn expired(&self, now: Millis) -> Vec<(LinkKey, &'static str)> {
         let due = |link: &Link| {
             let empty = link.open.is_empty() && link.out.is_empty();
-            let passed = link.due(self.dial_ms, self.idle_ms).is_some_and(|at| at <= now);
+            let passed = link.due(self.idle_ms).is_some_and(|at| at <= now);
             match link.up {
-                None => passed.then_some("not up in time"),
+                None if link.retired && empty => Some("not wanted any more"),
+                None => link.race.as_ref().is_some_and(|race| race.over(now)).then_some("not up in time"),
+                Some(_) if link.greeting.is_some() => passed.then_some("no greeting"),
                 Some(_) if link.decoder.midway() => passed.then_some("an answer stopped short"),
                 Some(_) => (passed || (empty && link.mute(now))).then_some("idle"),
             }
@@ -414,9 +740,14 @@
         self.links.iter().filter_map(|(key, link)| Some((*key, due(link)?))).collect()
     }
 
-    /// When to look for expired ones next.
+    /// When to look for expired ones, mute ones and dials next.
     pub fn next_due(&self) -> Option<Millis> {
-        self.links.values().filter_map(|link| link.due(self.dial_ms, self.idle_ms)).reduce(f64::min)
+        let links = self.links.values().filter_map(|link| link.due(self.idle_ms)).reduce(f64::min);
+        let rules = self.book.rules();
+        let unheard =
+            || self.links.values().filter(|l| l.up.is_some() && !l.blamed).filter_map(|l| l.unheard);
+        let mute = rules.and_then(|_| unheard().map(|since| since + MUTE_MS + 1.0).reduce(f64::min));
+        [links, mute, self.book.next_due()].into_iter().flatten().reduce(f64::min)
     }
 
     /// Connections there are.
@@ -425,8 +756,14 @@
     }
 }
 
+/// Has the book leave a path alone; what there is to say of it.
+fn left(book: &mut Book, now: Millis, member: &CacheId, endpoint: &Endpoint, why: Failure) -> Option<Leave> {
+    let until = book.failed(now, member, endpoint, why)?;
+    Some(Leave { member: member.clone(), endpoint: endpoint.clone(), why, pause_ms: until - now })
+}
+
 impl Link {
-    fn frame(&mut self, frame: &[Vec<u8>]) -> Result<Heard, Fault> {
+    fn frame(&mut self, frame: &[Vec<u8>], named: bool) -> Result<Heard, Fault> {
         let [id, word, rest @ ..] = frame else { return Err(Fault("an answer is cut short")) };
         let id = std::str::from_utf8(id).map_err(|_| Fault("an id can't be read"))?;
         // An answer to what has not left whole is none: its frame would go on to open the id a second time.
@@ -436,16 +773,16 @@
             return Ok(if late { Heard::Late } else { Heard::Unknown });
         };
         let (fields, body) = match (what, rest) {
-            (What::Probe, []) => (&b"-"[..], None),
-            (What::Probe, [fields, ..]) => (&fields[..], None),
+            (What::Probe | What::Greeting, []) => (&b"-"[..], None),
+            (What::Probe | What::Greeting, [fields, ..]) => (&fields[..], None),
             (What::Attempt(_), [fields, body]) => (&fields[..], Some(body)),
             _ => return Err(Fault("an answer has other parts")),
         };
         let fields = Fields(std::str::from_utf8(fields).map_err(|_| Fault("fields can't be read"))?);
         let report = fields.report();
         let outcome = match (what, word.as_slice()) {
-            (What::Probe, b"FIT") => Outcome::Ok,
-            (What::Probe, b"UNFIT") => Outcome::Error,
+            (What::Probe | What::Greeting, b"FIT") => Outcome::Ok,
+            (What::Probe | What::Greeting, b"UNFIT") => Outcome::Error,
             (What::Attempt(_), b"DONE" | b"KEEP") => Outcome::Ok,
             (What::Attempt(_), b"LACK") => Outcome::Miss,
             (What::Attempt(_), b"WAIT") => Outcome::Full,
@@ -453,9 +790,16 @@
             (What::Attempt(_), b"PAST") => Outcome::Moot,
             _ => return Err(Fault("an answer says nothing that is known")),
         };
+        if what == What::Greeting && named && fields.get("name") != Some(self.member.as_str()) {
+            return Err(WRONG_NAME);
+        }
         self.open.remove(id);
         self.over(id.to_owned());
         Ok(match what {
+            What::Greeting => {
+                (self.greeting, self.trial) = (None, None);
+                Heard::Greeted
+            }
             What::Probe => Heard::Probe(self.member.clone(), outcome, report),
             What::Attempt(attempt) => Heard::Answer(
                 attempt,
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,144 @@
+//! The command line: what to do, and where the files are that say how.
+//!
+//! Exit codes: 0, it ended as told, or every file is good; 1, it couldn't start, or a file is not good; 2, the
+//! command line itself can't be understood.
+
+use crate::config::{Config, Sources};
+use crate::log::Format;
+use crate::operator::{self, Operator};
+use crate::say;
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Routes requests to cache boxes, their fills and their origin.
+#[derive(Debug, Parser)]
+#[command(name = "frostturn", version, about, long_about = LONG_ABOUT, args_conflicts_with_subcommands = false)]
+pub struct Cli {
+    /// The JSON config of the platform; needed to serve
+    #[arg(long, env = "PROXY_CONFIG", value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    /// This router's name; goes before the config's
+    #[arg(long, env = "PROXY_NAME", value_name = "NAME", global = true)]
+    name: Option<String>,
+    /// Where clients connect, as 127.0.0.1:7001 or [::1]:7001; goes before the config's
+    #[arg(long, env = "PROXY_LISTEN", value_name = "ADDRESS", global = true)]
+    listen: Option<String>,
+    /// The operator's file (S-expressions) that switches on further subsystems; without it none is on
+    #[arg(long, env = "FROSTTURN_OPERATOR", value_name = "FILE", global = true)]
+    operator: Option<PathBuf>,
+    /// How log lines are written to standard error
+    #[arg(long, env = "FROSTTURN_LOG", value_enum, default_value = "text", global = true)]
+    log: LogFormat,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+const LONG_ABOUT: &str = "Routes requests to cache boxes, their fills and their origin.\n\n\
+With no command it serves. SIGTERM lets it finish, SIGHUP has the config and the operator's file read again, \
+SIGUSR1 prints the counters.\n\n\
+Exit codes: 0, it ended as told, or every file is good; 1, it couldn't start, or a file is not good; 2, the \
+command line can't be understood.";
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serve until told to end; what is done without a command, too
+    Serve,
+    /// Read operator's files or JSON configs and report every fault, with line and column
+    Check {
+        /// The files; one that begins with `{` is read as a JSON config
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Print a completion script for a shell
+    Completions {
+        /// Which shell
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum LogFormat {
+    /// `frostturn: ` and the words, for people
+    Text,
+    /// One JSON object a line, for machines
+    Json,
+}
+
+/// Does what the process's arguments and environment say.
+pub fn main() -> ExitCode {
+    run(Cli::parse())
+}
+
+fn run(cli: Cli) -> ExitCode {
+    crate::log::start(match cli.log {
+        LogFormat::Text => Format::Text,
+        LogFormat::Json => Format::Json,
+    });
+    match cli.command {
+        None | Some(Command::Serve) => {
+            let given = |text: Option<String>| text.filter(|text| !text.is_empty());
+            let sources = Sources {
+                config: cli.config.filter(|path| !path.as_os_str().is_empty()),
+                name: given(cli.name),
+                listen: given(cli.listen),
+                operator: cli.operator.filter(|path| !path.as_os_str().is_empty()),
+            };
+            match crate::runtime::run(sources) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(reason) => {
+                    say!(always; "cannot start: {reason}");
+                    ExitCode::FAILURE
+                }
+            }
+        }
+        Some(Command::Check { files }) => check(&files),
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Cli::command(), "frostturn", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Reports each file's faults on standard error and each good one on standard output.
+fn check(files: &[PathBuf]) -> ExitCode {
+    let mut good = true;
+    for path in files {
+        let shown = path.display();
+        let faults = match operator::read_bytes(path) {
+            Err(why) => vec![why],
+            Ok(bytes) if bytes.trim_ascii_start().starts_with(b"{") => {
+                Config::read(bytes, None, None).err().into_iter().collect()
+            }
+            Ok(bytes) => match Operator::read(&bytes) {
+                Ok(_) => Vec::new(),
+                Err(faults) => faults.0.iter().map(|fault| format!("{shown}:{fault}")).collect(),
+            },
+        };
+        if faults.is_empty() {
+            println!("{shown}: good");
+        }
+        good &= faults.is_empty();
+        faults.iter().for_each(|fault| eprintln!("{fault}"));
+    }
+    if good {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_command_line_is_in_order_and_every_option_has_help_and_a_name_in_the_environment() {
+        let command = Cli::command();
+        command.clone().debug_assert();
+        for arg in command.get_arguments() {
+            assert!(arg.get_help().is_some(), "{arg}");
+            assert!(arg.get_env().is_some(), "{arg}");
+        }
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,10 +5,12 @@
 
 use crate::api::*;
 use crate::board::{self, Notice};
+use crate::operator::Operator;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Why something cannot be read.
 pub type Fault = String;
@@ -51,15 +53,33 @@
     pub net: Net,
 }
 
-impl Config {
-    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME` and `PROXY_LISTEN` go before what it says.
-    pub fn from_env() -> Result<Self, Fault> {
-        let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG isn't set".to_owned())?;
-        let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-        let var = |name| std::env::var(name).ok().filter(|value: &String| !value.is_empty());
-        Self::read(bytes, var("PROXY_NAME"), var("PROXY_LISTEN")).map_err(|e| format!("{path}: {e}"))
+/// Where the config and the operator's file are, and what goes before them.
+#[derive(Clone, Debug, Default)]
+pub struct Sources {
+    /// The JSON config.
+    pub config: Option<PathBuf>,
+    /// Goes before the config's name.
+    pub name: Option<String>,
+    /// Goes before the config's address.
+    pub listen: Option<String>,
+    /// The operator's file; `None`: nothing further is switched on.
+    pub operator: Option<PathBuf>,
+}
+
+impl Sources {
+    /// Reads both, or neither.
+    pub fn load(&self) -> Result<(Config, Operator), Fault> {
+        let path = self.config.as_ref().ok_or("PROXY_CONFIG isn't set")?;
+        let shown = path.display();
+        let bytes = std::fs::read(path).map_err(|e| format!("{shown}: {e}"))?;
+        let config = Config::read(bytes, self.name.clone(), self.listen.clone());
+        let config = config.map_err(|e| format!("{shown}: {e}"))?;
+        let operator = self.operator.as_deref().map_or(Ok(Operator::default()), Operator::load)?;
+        Ok((config, operator))
     }
+}
 
+impl Config {
     /// Reads the JSON; the name and the address given go before what it says.
     pub fn read(mut json: Vec<u8>, name: Option<String>, listen: Option<String>) -> Result<Self, Fault> {
         let value = simd_json::to_owned_value(&mut json).map_err(|e| format!("not JSON: {e}"))?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,15 +61,18 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod addresses;
 pub mod api;
 pub mod back;
 pub mod board;
 pub mod bytes;
+pub mod cli;
 pub mod config;
 pub mod counters;
 pub mod fastcgi;
 pub mod front;
 pub mod log;
+pub mod operator;
 pub mod policy;
 pub mod reducer;
 pub mod resp;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,11 +1,23 @@
-//! Lines for the operators: `eprintln` behind one macro that is limited in rate.
+//! Lines for the operators: `tracing` behind one macro that is limited in rate, for each kind of line by itself.
+//!
+//! A kind of line is one place in the source that writes it. As text a line reads `frostturn: ` and its words;
+//! as JSON it is one object with the words under `message` and what it speaks of (machine, address, attempt,
+//! outcome) under names of their own.
 
-use std::sync::Mutex;
+use std::fmt;
+use std::sync::{Mutex, OnceLock};
 use std::time::Instant;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
 
-/// Lines a second that may be written for long.
+pub use tracing;
+
+/// Lines a second of one kind that may be written for long.
 const LINES_PER_S: f64 = 10.0;
-/// Lines that may come together.
+/// Lines of one kind that may come together.
 const BURST: f64 = 40.0;
 
 /// A bucket of lines that may still be written, and how many were held back since the last one.
@@ -41,29 +53,112 @@
     }
 }
 
-static LIMITER: Mutex<(Limiter, Option<Instant>)> = Mutex::new((Limiter::new(), None));
+/// A kind of line: its limiter on the process's clock; used by [`say!`](crate::say).
+#[derive(Debug, Default)]
+pub struct Kind(Mutex<Limiter>);
+
+impl Kind {
+    /// One that has written nothing yet.
+    pub const fn new() -> Self {
+        Self(Mutex::new(Limiter::new()))
+    }
 
-/// The process's own limiter, on the process's clock; used by [`say!`](crate::say).
-pub fn permit() -> Option<u64> {
-    let mut shared = LIMITER.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-    let start = *shared.1.get_or_insert_with(Instant::now);
-    shared.0.permit(start.elapsed().as_secs_f64())
+    /// As [`Limiter::permit`], now.
+    pub fn permit(&self) -> Option<u64> {
+        static START: OnceLock<Instant> = OnceLock::new();
+        let now_s = START.get_or_init(Instant::now).elapsed().as_secs_f64();
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).permit(now_s)
+    }
 }
 
-/// Writes one line to standard error, if the rate allows it; `always;` first writes it in any case, for lines
-/// that come once or were asked for.
+/// Writes one line, if the rate of its kind allows it; `always;` first writes it in any case, for lines that
+/// come once or were asked for. Fields go before the words: `say!({ machine = %name } "{name} is back")`.
 #[macro_export]
 macro_rules! say {
-    (always; $($part:tt)*) => { eprintln!("frostturn: {}", format_args!($($part)*)) };
-    ($($part:tt)*) => {
-        match $crate::log::permit() {
-            Some(0) => eprintln!("frostturn: {}", format_args!($($part)*)),
-            Some(held) => eprintln!("frostturn: {} ({held} lines held back)", format_args!($($part)*)),
-            None => {}
+    (always; { $($field:tt)* } $($part:tt)*) => {
+        $crate::log::tracing::info!($($field)*, $($part)*)
+    };
+    (always; $($part:tt)*) => { $crate::log::tracing::info!($($part)*) };
+    ({ $($field:tt)* } $($part:tt)*) => {{
+        static KIND: $crate::log::Kind = $crate::log::Kind::new();
+        if let Some(held) = KIND.permit() {
+            let held_back = (held > 0).then_some(held);
+            $crate::log::tracing::info!(held_back, $($field)*, $($part)*);
         }
+    }};
+    ($($part:tt)*) => {{
+        static KIND: $crate::log::Kind = $crate::log::Kind::new();
+        if let Some(held) = KIND.permit() {
+            let held_back = (held > 0).then_some(held);
+            $crate::log::tracing::info!(held_back, $($part)*);
+        }
+    }};
+}
+
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// `frostturn: ` and the words.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Has this process's lines written to standard error. A second call changes nothing.
+pub fn start(format: Format) {
+    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(tracing::Level::INFO);
+    // The one error is that lines are written already.
+    let _ = match format {
+        Format::Text => lines.event_format(Words).try_init(),
+        Format::Json => lines.json().flatten_event(true).with_current_span(false).try_init(),
     };
 }
 
+/// The text form: the words alone, and how many lines were held back before them.
+#[derive(Debug)]
+struct Words;
+
+#[derive(Default)]
+struct Said {
+    words: String,
+    held_back: u64,
+}
+
+impl Visit for Said {
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        if field.name() == "held_back" {
+            self.held_back = value;
+        }
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        if field.name() == "message" {
+            self.words = format!("{value:?}");
+        }
+    }
+}
+
+impl<S, N> FormatEvent<S, N> for Words
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(
+        &self,
+        _: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &Event<'_>,
+    ) -> fmt::Result {
+        let mut said = Said::default();
+        event.record(&mut said);
+        match said.held_back {
+            0 => writeln!(writer, "frostturn: {}", said.words),
+            held => writeln!(writer, "frostturn: {} ({held} lines held back)", said.words),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -75,4 +170,11 @@
         assert_eq!(written, BURST as usize);
         assert_eq!(limiter.permit(2.0), Some(1000 - BURST as u64), "the next line says how many");
     }
+
+    #[test]
+    fn kinds_are_limited_each_by_itself() {
+        let (loud, quiet) = (Kind::new(), Kind::new());
+        assert!((0..1000).any(|_| loud.permit().is_none()));
+        assert_eq!(quiet.permit(), Some(0));
+    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,17 +1,7 @@
-//! One request router: reads its config and serves until it is told to end.
+//! One request router: does what its command line says; with none, it serves until it is told to end.
 
 #![forbid(unsafe_code)]
 
-use frostturn::config::Config;
-use frostturn::{runtime, say};
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    match Config::from_env().and_then(runtime::run) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(reason) => {
-            say!(always; "cannot start: {reason}");
-            ExitCode::FAILURE
-        }
-    }
+fn main() -> std::process::ExitCode {
+    frostturn::cli::main()
 }
--- /dev/null
+++ b/src/operator/form.rs
@@ -0,0 +1,285 @@
+//! Forms with their places, and the reading of typed settings out of them.
+
+use super::head;
+use crate::api::Millis;
+use lexpr::datum::Ref;
+use lexpr::Value;
+use std::fmt;
+
+/// Forms in one file, at most.
+const MAX_FORMS: usize = 100_000;
+/// Lists inside each other, at most; `lexpr` itself stops at 128.
+const MAX_DEPTH: usize = 32;
+/// Faults that are told of one file.
+const MAX_FAULTS: usize = 50;
+/// A word so like a known one is likely meant to be it.
+const LIKE: f64 = 0.7;
+
+/// A line and a column, both from 1.
+pub type Place = (usize, usize);
+
+/// One fault of a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Where.
+    pub at: Place,
+    /// What is wrong, and what is wanted.
+    pub reason: String,
+}
+
+impl Fault {
+    /// One fault.
+    pub fn new(at: Place, reason: impl Into<String>) -> Self {
+        Self { at, reason: reason.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.at.0, self.at.1, self.reason)
+    }
+}
+
+/// All faults of a file, in its order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// What a form is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Form {
+    /// A bare word.
+    Word(String),
+    /// Text in double quotes.
+    Text(String),
+    /// A number with its unit, which is empty where none is written: `80ms`.
+    Quantity(f64, String),
+    /// A list.
+    List(Vec<Node>),
+    /// Something that has no use here.
+    Other,
+}
+
+/// A form and its place.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Where it begins.
+    pub at: Place,
+    /// What it is.
+    pub form: Form,
+}
+
+/// Reads all forms of a file.
+pub fn read(bytes: &[u8]) -> Result<Vec<Node>, Fault> {
+    let text = std::str::from_utf8(bytes).map_err(|e| {
+        let line = 1 + bytes[..e.valid_up_to()].iter().filter(|byte| **byte == b'\n').count();
+        Fault::new((line, 1), "not UTF-8")
+    })?;
+    let mut parser = lexpr::Parser::from_str(text);
+    let (mut nodes, mut left) = (Vec::new(), MAX_FORMS);
+    loop {
+        match parser.next_datum() {
+            Ok(Some(datum)) => nodes.push(node(datum.as_ref(), MAX_DEPTH, &mut left)?),
+            Ok(None) => return Ok(nodes),
+            Err(e) => {
+                let at = e.location().map_or((1, 1), |place| (place.line(), place.column().max(1)));
+                let reason = e.to_string();
+                let reason = reason.split(" at line ").next().unwrap_or_default();
+                return Err(Fault::new(at, format!("can't be read: {reason}")));
+            }
+        }
+    }
+}
+
+fn node(datum: Ref<'_>, depth: usize, left: &mut usize) -> Result<Node, Fault> {
+    let start = datum.span().start();
+    let at = (start.line(), start.column() + 1);
+    *left = left.checked_sub(1).ok_or_else(|| Fault::new(at, format!("more than {MAX_FORMS} forms")))?;
+    let form = match datum.value() {
+        Value::Symbol(word) => Form::Word(word.to_string()),
+        Value::String(text) => Form::Text(text.to_string()),
+        Value::Number(number) => Form::Quantity(number.as_f64().unwrap_or(f64::NAN), String::new()),
+        Value::Null => Form::List(Vec::new()),
+        Value::Cons(_) => {
+            let depth = depth
+                .checked_sub(1)
+                .ok_or_else(|| Fault::new(at, format!("lists more than {MAX_DEPTH} deep")))?;
+            let Some(items) = datum.list_iter() else {
+                return Ok(Node { at, form: Form::Other });
+            };
+            let mut parts: Vec<Node> = Vec::new();
+            // A unit is a word that begins where its number ends.
+            let mut number_ends = None;
+            for item in items {
+                let (span, part) = (item.span(), node(item, depth, left)?);
+                let glued = number_ends == Some((span.start().line(), span.start().column()));
+                match (parts.last_mut().map(|last| &mut last.form), &part.form) {
+                    (Some(Form::Quantity(_, unit)), Form::Word(word)) if glued && unit.is_empty() => {
+                        unit.clone_from(word);
+                        number_ends = None;
+                    }
+                    _ => {
+                        let number = matches!(part.form, Form::Quantity(..));
+                        number_ends = number.then(|| (span.end().line(), span.end().column()));
+                        parts.push(part);
+                    }
+                }
+            }
+            Form::List(parts)
+        }
+        _ => Form::Other,
+    };
+    Ok(Node { at, form })
+}
+
+/// Reads settings out of forms and gathers the faults.
+#[derive(Debug, Default)]
+pub struct Reader(Vec<Fault>);
+
+impl Reader {
+    /// Notes a fault.
+    pub fn fault(&mut self, at: Place, reason: impl Into<String>) {
+        if self.0.len() < MAX_FAULTS {
+            self.0.push(Fault::new(at, reason));
+        }
+    }
+
+    /// All faults there are.
+    pub fn into_faults(self) -> Faults {
+        let mut faults = self.0;
+        faults.sort_by_key(|fault| fault.at);
+        Faults(faults)
+    }
+
+    /// What was read, if nothing was wrong with it.
+    pub fn finish<T>(self, read: T) -> Result<T, Faults> {
+        if self.0.is_empty() {
+            Ok(read)
+        } else {
+            Err(self.into_faults())
+        }
+    }
+
+    /// What follows the head of a list that must begin with `word`.
+    pub fn headed<'a>(&mut self, node: &'a Node, word: &str) -> Option<&'a [Node]> {
+        match head(node) {
+            Some((found, rest)) if found == word => Some(rest),
+            _ => {
+                self.fault(node.at, format!("({word} …) is wanted"));
+                None
+            }
+        }
+    }
+
+    /// A list with one of the known words at its head, each once; what follows.
+    pub fn section<'a>(
+        &mut self,
+        node: &'a Node,
+        known: &[&'static str],
+        seen: &mut Vec<&'static str>,
+    ) -> Option<(&'static str, &'a [Node])> {
+        let Some((word, rest)) = head(node) else {
+            self.fault(node.at, format!("a list that begins with one of {} is wanted", known.join(", ")));
+            return None;
+        };
+        let at = (node.at.0, node.at.1 + 1);
+        let word = self.known(at, word, known)?;
+        if word != "machine" && seen.contains(&word) {
+            self.fault(at, format!("{word} is there twice"));
+            return None;
+        }
+        seen.push(word);
+        Some((word, rest))
+    }
+
+    /// One of the known words; the nearest of them is named where it isn't.
+    pub fn known(&mut self, at: Place, word: &str, known: &[&'static str]) -> Option<&'static str> {
+        if let Some(found) = known.iter().find(|known| **known == word) {
+            return Some(found);
+        }
+        let likeness = |known: &&&str| strsim::jaro_winkler(word, known);
+        let near = known.iter().max_by(|a, b| likeness(a).total_cmp(&likeness(b)));
+        let near = near.filter(|near| likeness(near) >= LIKE);
+        let hint = near.map_or(format!("known are {}", known.join(", ")), |near| format!("is {near} meant?"));
+        self.fault(at, format!("unknown word {word:?}; {hint}"));
+        None
+    }
+
+    /// A bare word that is one of the known ones.
+    pub fn word(&mut self, node: &Node, known: &[&'static str]) -> Option<&'static str> {
+        match &node.form {
+            Form::Word(word) => self.known(node.at, word, known),
+            _ => {
+                self.fault(node.at, format!("one of {} is wanted", known.join(", ")));
+                None
+            }
+        }
+    }
+
+    /// Text in quotes, not empty.
+    pub fn text<'a>(&mut self, node: &'a Node) -> Option<&'a str> {
+        match &node.form {
+            Form::Text(text) if !text.is_empty() => Some(text),
+            _ => {
+                self.fault(node.at, "text in double quotes is wanted");
+                None
+            }
+        }
+    }
+
+    /// A time with its unit, within bounds in milliseconds.
+    pub fn millis(&mut self, node: &Node, least: Millis, most: Millis) -> Option<Millis> {
+        let ms = match &node.form {
+            Form::Quantity(value, unit) => match unit.as_str() {
+                "ms" => Some(*value),
+                "s" => Some(value * 1e3),
+                "m" => Some(value * 6e4),
+                _ => None,
+            },
+            _ => None,
+        };
+        let Some(ms) = ms.filter(|ms| ms.is_finite()) else {
+            self.fault(node.at, "a time with its unit is wanted, as 80ms, 2s or 5m");
+            return None;
+        };
+        if ms < least || ms > most {
+            self.fault(node.at, format!("must lie between {least}ms and {most}ms"));
+            return None;
+        }
+        Some(ms)
+    }
+
+    /// A whole number without a unit, within bounds.
+    pub fn whole(&mut self, node: &Node, least: usize, most: usize) -> Option<usize> {
+        match &node.form {
+            Form::Quantity(value, unit)
+                if unit.is_empty()
+                    && value.fract() == 0.0
+                    && (least as f64..=most as f64).contains(value) =>
+            {
+                Some(*value as usize)
+            }
+            _ => {
+                self.fault(node.at, format!("a whole number from {least} to {most} is wanted"));
+                None
+            }
+        }
+    }
+
+    /// Exactly `N` forms.
+    pub fn exactly<'a, const N: usize>(&mut self, at: Place, nodes: &'a [Node]) -> Option<&'a [Node; N]> {
+        let found = <&[Node; N]>::try_from(nodes).ok();
+        if found.is_none() {
+            self.fault(at, format!("{N} are wanted here, not {}", nodes.len()));
+        }
+        found
+    }
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,83 @@
+//! The operator's file: S-expressions that switch on what the platform doesn't need, one section a subsystem.
+//!
+//! Read once into typed settings. Every fault is reported with its line and column, all of them in one go; a file
+//! with a fault changes nothing.
+
+mod addresses;
+mod form;
+
+pub use form::{Fault, Faults};
+
+use crate::addresses::Rules;
+use form::{Form, Node, Reader};
+use std::io::Read;
+use std::path::Path;
+
+/// Bytes of a file, at most.
+const MAX_FILE: u64 = 1 << 20;
+
+/// What an operator's file says. A section that isn't there is off.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// `(addresses …)`: several addresses for one machine.
+    pub addresses: Option<Rules>,
+}
+
+impl Operator {
+    /// Reads a file's bytes.
+    ///
+    /// ```
+    /// let good = frostturn::operator::Operator::read(b"(frostturn (addresses (order ipv6 ipv4)))");
+    /// assert_eq!(good.unwrap().addresses.unwrap().order.len(), 2);
+    /// let bad = frostturn::operator::Operator::read(b"(frostturn\n  (adresses))").unwrap_err();
+    /// assert!(bad.to_string().starts_with("2:4: "));
+    /// ```
+    pub fn read(bytes: &[u8]) -> Result<Self, Faults> {
+        let forms = form::read(bytes).map_err(|fault| Faults(vec![fault]))?;
+        let mut reader = Reader::default();
+        let mut operator = Self::default();
+        let [root] = &forms[..] else {
+            let at = forms.get(1).map_or((1, 1), |node| node.at);
+            return Err(Faults(vec![Fault::new(at, "one form (frostturn …) is wanted")]));
+        };
+        let Some(sections) = reader.headed(root, "frostturn") else { return Err(reader.into_faults()) };
+        let mut seen = Vec::new();
+        for section in sections {
+            let Some((word, rest)) = reader.section(section, &["addresses"], &mut seen) else { continue };
+            if word == "addresses" {
+                operator.addresses = Some(addresses::read(&mut reader, rest));
+            }
+        }
+        reader.finish(operator)
+    }
+
+    /// Reads the file at `path`; an error names the file, and each fault with its place.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let bytes = read_bytes(path)?;
+        let place = |fault: &Fault| format!("{}:{fault}", path.display());
+        Self::read(&bytes).map_err(|faults| faults.0.iter().map(place).collect::<Vec<String>>().join("; "))
+    }
+}
+
+/// The bytes of a file of a bounded size.
+pub fn read_bytes(path: &Path) -> Result<Vec<u8>, String> {
+    let shown = path.display();
+    let file = std::fs::File::open(path).map_err(|e| format!("{shown}: {e}"))?;
+    let mut bytes = Vec::new();
+    file.take(MAX_FILE + 1).read_to_end(&mut bytes).map_err(|e| format!("{shown}: {e}"))?;
+    if bytes.len() as u64 > MAX_FILE {
+        return Err(format!("{shown}: more than {MAX_FILE} bytes"));
+    }
+    Ok(bytes)
+}
+
+/// A list's head word, if it is one.
+fn head(node: &Node) -> Option<(&str, &[Node])> {
+    match &node.form {
+        Form::List(parts) => match parts.split_first() {
+            Some((Node { form: Form::Word(word), .. }, rest)) => Some((word, rest)),
+            _ => None,
+        },
+        _ => None,
+    }
+}
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -4,13 +4,13 @@
 //! that equal inputs give equal effects. What is decided about a request is the module's ([`crate::policy`]);
 //! what is owed for it is kept here: one final answer each, in time, and a true report of each attempt's end.
 
+use crate::addresses::Listing;
 use crate::api::*;
 use crate::board::{Listed, Notice, Word};
 use crate::config::Net;
 use crate::counters::Counters;
 use crate::Router;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 
 /// A request is answered this long before its client gives up: its way back, and a busy core.
 const GUARD_MS: Millis = 30.0;
@@ -232,10 +232,8 @@
     Send {
         /// Its number.
         attempt: AttemptKey,
-        /// To which machine.
+        /// To which machine; the way there is the address book's.
         member: CacheId,
-        /// Where that listens now.
-        address: SocketAddr,
         /// What to ask.
         call: Call,
     },
@@ -248,8 +246,13 @@
     Probe {
         /// Which.
         member: CacheId,
-        /// Where it listens now.
-        address: SocketAddr,
+    },
+    /// The notice board has spoken of a machine; `None`: it is forgotten.
+    Listed {
+        /// Which.
+        member: CacheId,
+        /// What it says.
+        listing: Option<Listing>,
     },
     /// Close connections to a machine once they carry nothing.
     Retire {
@@ -307,7 +310,6 @@
 
 #[derive(Debug)]
 struct Member {
-    address: SocketAddr,
     phase: Phase,
     since: Option<Millis>,
     /// When it was last told of.
@@ -492,9 +494,9 @@
             }
             Action::Timer { delay_ms, token } => self.at(now + delay_ms, Due::Module(token)),
             Action::Probe { cache } => {
-                if let Some(member) = self.members.get(&cache) {
+                if self.members.contains_key(&cache) {
                     self.counters.probes += 1;
-                    self.effects.push(Effect::Probe { address: member.address, member: cache });
+                    self.effects.push(Effect::Probe { member: cache });
                 }
             }
             Action::Subscribe => {} // The board is followed all the time.
@@ -607,17 +609,16 @@
             sent: now,
             progress: Progress::NotConnected,
         };
-        let address = self.members.get(&fetch.cache).filter(|m| m.phase == Phase::Serving).map(|m| m.address);
         self.out.insert(key, out);
-        let Some(address) = address else {
+        if self.members.get(&fetch.cache).is_none_or(|member| member.phase != Phase::Serving) {
             return self.end(now, key, Outcome::Moot, None, false);
-        };
+        }
         if fetch.timeout_ms > 0.0 {
             self.at(now + fetch.timeout_ms, Due::Limit(key));
         }
         self.at(now + UNSENT_MS, Due::Unsent(key));
         let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone });
-        self.effects.push(Effect::Send { attempt: key, member, address, call });
+        self.effects.push(Effect::Send { attempt: key, member, call });
     }
 
     /// Gives an attempt up and reports it: as `unsent` where no byte of it has left, else as `sent`.
@@ -729,17 +730,29 @@
             for (name, member) in &mut self.members {
                 if !machines.iter().any(|listed| listed.name == name.as_str()) {
                     (member.phase, member.told) = (Phase::Deleted, now);
+                    let listing = Listing { phase: Phase::Deleted, address: None, cold_until: None };
+                    self.effects.push(Effect::Listed { member: name.clone(), listing: Some(listing) });
                     self.effects.push(Effect::Retire { member: name.clone() });
                 }
             }
         }
-        self.members.retain(|_, member| member.phase != Phase::Deleted || now - member.told < FORGET_MS);
+        let effects = &mut self.effects;
+        self.members.retain(|name, member| {
+            let stays = member.phase != Phase::Deleted || now - member.told < FORGET_MS;
+            if !stays {
+                effects.push(Effect::Listed { member: name.clone(), listing: None });
+            }
+            stays
+        });
         let mut entries = Vec::with_capacity(machines.len());
         for listed in machines {
             let name = CacheId::from(listed.name.as_str());
             let since = listed.since_unix_ms.map(|ms| ms - self.unix_offset);
-            let now_is = Member { address: listed.address, phase: listed.phase, since, told: now };
-            let was = self.members.insert(name.clone(), now_is);
+            let was = self.members.insert(name.clone(), Member { phase: listed.phase, since, told: now });
+            let address = (listed.phase != Phase::Deleted).then_some(listed.address);
+            let cold_until = since.map(|at| at + self.settings.guarantees.cold_ms);
+            let listing = Listing { phase: listed.phase, address, cold_until };
+            self.effects.push(Effect::Listed { member: name.clone(), listing: Some(listing) });
             if listed.phase != Phase::Serving {
                 self.effects.push(Effect::Retire { member: name.clone() });
             } else if let (Some(at), Some(was)) = (since, was) {
--- /dev/null
+++ b/src/runtime/board.rs
@@ -0,0 +1,88 @@
+//! The notice board's socket: one poll after the other. What they bring is [`crate::board`]'s.
+
+use super::socket::{dial, register, Io, Sock};
+use super::{unix_ms, Runtime, Source};
+use crate::reducer::Input;
+use crate::say;
+use calloop::Interest;
+use std::rc::Rc;
+
+impl Runtime {
+    /// A poll is due, or the one that is out has taken too long.
+    pub(super) fn poll_board(&mut self) {
+        if self.follower.waiting() {
+            self.board_failed("no answer in time");
+            if self.follower.due > self.now() {
+                return;
+            }
+        }
+        let now = self.now();
+        let bytes = self.follower.poll(now, self.board_at);
+        if let Some((_, out)) = &mut self.board {
+            *out = bytes;
+        } else {
+            let dialled = dial(&self.board_at.into()).and_then(|stream| {
+                let stream = Rc::new(stream);
+                let token = register(&self.handle, stream.clone(), Source::Board, Interest::BOTH)?;
+                Ok(Sock { stream, token, readable: false, writable: false })
+            });
+            match dialled {
+                Ok(sock) => self.board = Some((sock, bytes)),
+                Err(_) => return self.board_failed("cannot be dialled"),
+            }
+        }
+        self.dirty.insert(Source::Board);
+    }
+
+    pub(super) fn serve_board(&mut self) {
+        let now = self.now();
+        let Some((sock, out)) = &mut self.board else { return };
+        while !out.is_empty() && sock.writable {
+            match sock.write(out) {
+                Ok(bytes) => drop(out.drain(..bytes)),
+                Err(Io::Over(why)) => return self.board_failed(why),
+                Err(_) => break,
+            }
+        }
+        while sock.readable {
+            let (bytes, eof) = match sock.read(&mut self.buffer) {
+                Ok(bytes) => (bytes, false),
+                Err(Io::Over("closed")) => (0, true),
+                Err(Io::Over(why)) => return self.board_failed(why),
+                Err(_) => return,
+            };
+            let waiting = self.follower.waiting();
+            let fed = if waiting { self.follower.feed(now, &self.buffer[..bytes], eof) } else { Ok(None) };
+            match fed {
+                Ok(Some(notices)) => {
+                    let unix_ms = unix_ms();
+                    let inputs = notices.into_iter().map(|notice| Input::Notice { notice, unix_ms });
+                    self.inbox.extend(inputs);
+                }
+                Ok(None) => {}
+                Err(why) => return self.board_failed(&why),
+            }
+            if eof {
+                if self.follower.waiting() {
+                    return self.board_failed("closed");
+                }
+                return self.drop_board();
+            }
+        }
+    }
+
+    pub(super) fn drop_board(&mut self) {
+        if let Some((sock, _)) = self.board.take() {
+            self.handle.remove(sock.token);
+        }
+    }
+
+    /// The poll has failed: what is known stands, and it is resumed from the last event.
+    pub(super) fn board_failed(&mut self, why: &str) {
+        self.drop_board();
+        self.reducer.counters.board_faults += 1;
+        say!("the board's poll failed: {why}");
+        let now = self.now();
+        self.follower.failed(now);
+    }
+}
--- /dev/null
+++ b/src/runtime/clients.rs
@@ -0,0 +1,182 @@
+//! Clients' sockets: accepted, read, written, shed and closed. What they mean is [`front`]'s.
+
+use super::socket::{register, Io, Sock};
+use super::{Runtime, Source};
+use crate::api::Millis;
+use crate::front::{self, Conn, Standing};
+use crate::reducer::{Client, Input};
+use crate::say;
+use calloop::Interest;
+use socket2::Socket;
+use std::io::ErrorKind;
+use std::rc::Rc;
+
+/// Bytes read from one client before others have their turn: requests are small.
+const READ_AT_ONCE: usize = 64 * 1024;
+/// Connections accepted before others have their turn.
+const ACCEPT_AT_ONCE: usize = 64;
+/// How long to wait before accepting again when there is no descriptor for another connection.
+const ACCEPT_PAUSE_MS: Millis = 20.0;
+
+/// What a client's connection has brought, for the reducer.
+fn heard_input(conn: u64, heard: front::Heard) -> Input {
+    let client = |serial| Client { conn, serial };
+    match heard {
+        front::Heard::Asked(serial, ask, age_ms) => Input::Asked { client: client(serial), ask, age_ms },
+        front::Heard::Health(serial) => Input::Health { client: client(serial) },
+        front::Heard::Aborted(serial) => Input::Aborted { client: client(serial) },
+    }
+}
+
+impl Runtime {
+    pub(super) fn accept(&mut self) {
+        for _ in 0..ACCEPT_AT_ONCE {
+            if self.fronts.len() >= self.reducer.most_clients() && !self.shed_front() {
+                self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS);
+                return;
+            }
+            let Some((listener, _)) = &self.listener else { return };
+            let accepted = listener.accept().and_then(|(stream, _)| {
+                stream.set_nonblocking(true)?;
+                stream.set_nodelay(true)?;
+                let stream = Rc::new(Socket::from(stream));
+                let source = Source::Front(self.next_front + 1);
+                let token = register(&self.handle, stream.clone(), source, Interest::BOTH)?;
+                Ok(Sock { stream, token, readable: true, writable: true })
+            });
+            match accepted {
+                Ok(sock) => {
+                    self.next_front += 1;
+                    self.fronts.insert(self.next_front, (sock, Conn::new(self.now())));
+                    self.dirty.insert(Source::Front(self.next_front));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::ConnectionAborted || e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => {
+                    say!("cannot accept: {e}");
+                    self.shed_front();
+                    self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS);
+                    return;
+                }
+            }
+        }
+        self.dirty.insert(Source::Listener);
+    }
+
+    /// Makes room for another client: the silent and then the longest idle ones go first.
+    pub(super) fn shed_front(&mut self) -> bool {
+        let now = self.now();
+        let spare = self.fronts.iter().filter_map(|(key, (_, conn))| Some((conn.spare(now)?, *key)));
+        let Some((_, key)) = spare.min() else { return false };
+        self.reducer.counters.clients_shed += 1;
+        self.close_front(key);
+        true
+    }
+
+    /// Looks for clients that are silent, deaf or gone, and for requests that should have been whole by now.
+    pub(super) fn sweep(&mut self, now: Millis) {
+        let mut over = Vec::new();
+        for (key, (_, conn)) in &mut self.fronts {
+            let before = conn.holding();
+            match conn.standing(now) {
+                Standing::Good => {}
+                Standing::Over => over.push(*key),
+                Standing::Late(late) => {
+                    self.inbox.extend(late.into_iter().map(|heard| heard_input(*key, heard)));
+                }
+            }
+            self.coming = self.coming + conn.holding() - before;
+        }
+        self.reducer.counters.clients_stale += over.len() as u64;
+        over.into_iter().for_each(|key| self.close_front(key));
+    }
+
+    pub(super) fn serve_front(&mut self, key: u64) {
+        let over = self.read_front(key) || self.write_front(key);
+        if over || self.fronts.get(&key).is_some_and(|(_, conn)| conn.over()) {
+            self.close_front(key);
+        }
+    }
+
+    /// Reads what a client has sent; true if its connection has ended.
+    pub(super) fn read_front(&mut self, key: u64) -> bool {
+        let mut read = 0;
+        loop {
+            let now = self.now();
+            let Some((sock, conn)) = self.fronts.get_mut(&key) else { return false };
+            if !sock.readable || !conn.listens() {
+                return false;
+            }
+            if read >= READ_AT_ONCE {
+                self.dirty.insert(Source::Front(key));
+                return false;
+            }
+            let bytes = match sock.read(&mut self.buffer) {
+                Ok(bytes) => bytes,
+                Err(Io::Over(_)) => return true,
+                Err(_) => return false,
+            };
+            read += bytes;
+            let before = conn.holding();
+            let heard = conn.receive(now, &self.buffer[..bytes]);
+            self.coming = self.coming + conn.holding() - before;
+            let bytes = conn.taken_back();
+            if bytes > 0 {
+                self.inbox.push(Input::Flushed { conn: key, bytes });
+            }
+            match heard {
+                Ok(heard) => self.inbox.extend(heard.into_iter().map(|heard| heard_input(key, heard))),
+                Err(fault) => {
+                    self.reducer.counters.client_faults += 1;
+                    say!("a client's record can't be read: {fault:?}");
+                    return true;
+                }
+            }
+            if self.coming > self.most_coming {
+                self.relieve();
+            }
+        }
+    }
+
+    /// Requests that are coming in hold too much: the connection that holds most ends.
+    pub(super) fn relieve(&mut self) {
+        let most = self.fronts.iter().max_by_key(|(_, (_, conn))| conn.holding());
+        let Some(key) = most.map(|(key, _)| *key) else { return };
+        self.reducer.counters.client_faults += 1;
+        say!("no memory for what a client sends");
+        self.close_front(key);
+    }
+
+    /// Writes what a client is owed; true if its connection has ended.
+    pub(super) fn write_front(&mut self, key: u64) -> bool {
+        let (mut written, now) = (0, self.now());
+        let Some((sock, conn)) = self.fronts.get_mut(&key) else { return false };
+        let deaf = !conn.listens();
+        let over = loop {
+            let Some(bytes) = conn.output().filter(|_| sock.writable) else { break false };
+            match sock.write(bytes) {
+                Ok(bytes) => {
+                    conn.wrote(now, bytes);
+                    written += bytes;
+                }
+                Err(Io::Over(_)) => break true,
+                Err(_) => break false,
+            }
+        };
+        if deaf && conn.listens() && sock.readable {
+            self.dirty.insert(Source::Front(key));
+        }
+        if written > 0 {
+            self.inbox.push(Input::Flushed { conn: key, bytes: written });
+        }
+        over
+    }
+
+    pub(super) fn close_front(&mut self, key: u64) {
+        if let Some((sock, conn)) = self.fronts.remove(&key) {
+            self.coming -= conn.holding();
+            self.handle.remove(sock.token);
+            self.inbox.push(Input::Closed { conn: key });
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/machines.rs
@@ -0,0 +1,274 @@
+//! Machines' sockets: dialled, read and written. What is on which connection is [`back`]'s, and which way it goes
+//! [`crate::addresses`]'.
+
+use super::socket::{dial, register, Io, Sock};
+use super::{Runtime, Source};
+use crate::addresses::{DialKey, Endpoint, Failure};
+use crate::api::{CacheId, LoadReport, Outcome};
+use crate::back::{self, Dialling, Leave, LinkKey, Unsent};
+use crate::reducer::{AttemptKey, Call, End, Input, Progress};
+use crate::say;
+use calloop::Interest;
+use std::io;
+use std::rc::Rc;
+
+/// Bytes read from one machine before others have their turn.
+const READ_AT_ONCE: usize = 512 * 1024;
+/// No descriptor, or no memory, for another socket: EMFILE, ENFILE, ENOMEM, ENOBUFS on Linux.
+const NO_ROOM: [i32; 4] = [24, 23, 12, 105];
+
+impl Runtime {
+    pub(super) fn probe_failed(&mut self, member: crate::api::CacheId) {
+        let (outcome, report) = (Outcome::ConnectFailed, LoadReport::default());
+        self.inbox.push(Input::Probed { member, outcome, report });
+    }
+
+    /// Queues an attempt.
+    pub(super) fn send(&mut self, attempt: AttemptKey, member: &CacheId, call: &Call) {
+        match self.links.send(self.now(), attempt, member, call) {
+            Ok((key, new)) => self.queued(key, new),
+            Err(Unsent::NoRoom) => self.inbox.push(Input::Ended { attempt, end: End::NoRoom }),
+            Err(Unsent::NoPath) => {
+                say!({ machine = %member, attempt } "no address of {member} is its own now");
+                self.inbox.push(Input::Ended { attempt, end: End::Lost(Progress::NotConnected) });
+            }
+        }
+    }
+
+    /// Something is queued for a machine: dials if the connection is new.
+    pub(super) fn queued(&mut self, key: LinkKey, new: bool) {
+        self.dirty.insert(Source::Link(key));
+        if new {
+            self.dial_due();
+        }
+    }
+
+    /// Dials and closes dials as the races ask for it, until none is due.
+    pub(super) fn dial_due(&mut self) {
+        loop {
+            let todo = self.links.poll(self.now());
+            if todo.is_empty() {
+                return;
+            }
+            self.dialling(todo);
+        }
+    }
+
+    fn dialling(&mut self, todo: Vec<Dialling>) {
+        for one in todo {
+            match one {
+                Dialling::Start(key, number, endpoint) => self.start_dial(key, number, &endpoint),
+                Dialling::Close(number) => self.close_dial(number),
+                Dialling::Left(left) => say_left(&left),
+            }
+        }
+    }
+
+    fn start_dial(&mut self, key: LinkKey, number: DialKey, endpoint: &Endpoint) {
+        self.reducer.counters.dials += 1;
+        let dialled = dial(endpoint).and_then(|stream| {
+            let stream = Rc::new(stream);
+            let token = register(&self.handle, stream.clone(), Source::Dial(number), Interest::BOTH)?;
+            Ok(Sock { stream, token, readable: false, writable: false })
+        });
+        match dialled {
+            Ok(sock) => drop(self.dials.insert(number, (key, endpoint.clone(), sock))),
+            Err(e) => self.dial_over(key, number, endpoint, "cannot be dialled", blame(&e)),
+        }
+    }
+
+    pub(super) fn close_dial(&mut self, number: DialKey) {
+        if let Some((.., sock)) = self.dials.remove(&number) {
+            self.handle.remove(sock.token);
+        }
+    }
+
+    /// A dial has failed: the race goes on, or the connection never comes up.
+    fn dial_over(
+        &mut self,
+        key: LinkKey,
+        number: DialKey,
+        endpoint: &Endpoint,
+        why: &'static str,
+        blame: Option<Failure>,
+    ) {
+        self.close_dial(number);
+        self.reducer.counters.dials_failed += 1;
+        let machine = self.links.member(key).map(CacheId::to_string).unwrap_or_default();
+        say!({ machine, address = %endpoint, outcome = why } "no connection to {endpoint}: {why}");
+        if let Some(left) = self.links.dial_failed(self.now(), key, number, blame) {
+            say_left(&left);
+        }
+    }
+
+    /// A dial that is ready: it is up, or has failed.
+    pub(super) fn serve_dial(&mut self, number: DialKey) {
+        let Some((key, endpoint, sock)) = self.dials.get(&number) else { return };
+        let (key, endpoint) = (*key, endpoint.clone());
+        if !sock.writable {
+            return;
+        }
+        match sock.stream.take_error() {
+            Ok(None) if sock.stream.peer_addr().is_ok() => {}
+            Ok(None) => return,
+            _ => {
+                self.dial_over(key, number, &endpoint, "refused", Some(Failure::Refused));
+                return self.dial_due();
+            }
+        }
+        let now = self.now();
+        let Some(todo) = self.links.up(now, key, number) else { return self.close_dial(number) };
+        if let Some((.., dialled)) = self.dials.remove(&number) {
+            self.handle.remove(dialled.token);
+            let stream = dialled.stream;
+            match register(&self.handle, stream.clone(), Source::Link(key), Interest::BOTH) {
+                Ok(token) => {
+                    self.link_socks.insert(key, Sock { stream, token, readable: true, writable: true });
+                    self.dirty.insert(Source::Link(key));
+                }
+                Err(_) => self.link_down(key, "cannot be registered"),
+            }
+        }
+        self.dialling(todo);
+        self.dial_due();
+    }
+
+    /// What time has brought: races that go on, paths that fell mute, connections that are over.
+    pub(super) fn links_due(&mut self) {
+        let now = self.now();
+        let (left, moved) = self.links.mute(now);
+        left.iter().for_each(say_left);
+        moved.into_iter().for_each(|key| self.queued(key, true));
+        self.dial_due();
+        for (key, why) in self.links.expired(now) {
+            self.link_down(key, why);
+        }
+    }
+
+    pub(super) fn serve_link(&mut self, key: LinkKey) {
+        if !self.link_socks.contains_key(&key) {
+            return;
+        }
+        // Reading goes first: a close by the other side is seen before anything is written into it.
+        if let Some(why) = self.read_link(key).or_else(|| self.write_link(key)) {
+            self.link_down(key, why);
+        }
+    }
+
+    pub(super) fn read_link(&mut self, key: LinkKey) -> Option<&'static str> {
+        let mut read = 0;
+        loop {
+            let now = self.now();
+            let sock = self.link_socks.get_mut(&key)?;
+            // One that rests may have been closed with no word from the loop yet.
+            let may_have_closed = read == 0 && self.links.rested(key);
+            if !sock.readable && !may_have_closed {
+                return None;
+            }
+            if read > READ_AT_ONCE {
+                self.dirty.insert(Source::Link(key));
+                return None;
+            }
+            let bytes = match sock.read(&mut self.buffer) {
+                Ok(bytes) => bytes,
+                Err(Io::Over(why)) => return Some(why),
+                Err(_) => return None,
+            };
+            read += bytes;
+            let (heard, fault) = self.links.receive(now, key, &self.buffer[..bytes]);
+            for heard in heard {
+                let counters = &mut self.reducer.counters;
+                self.inbox.push(match heard {
+                    back::Heard::Answer(attempt, answer) => {
+                        Input::Ended { attempt, end: End::Answer(answer) }
+                    }
+                    back::Heard::Probe(member, outcome, report) => Input::Probed { member, outcome, report },
+                    back::Heard::Greeted => continue,
+                    back::Heard::Late => {
+                        counters.answers_late += 1;
+                        continue;
+                    }
+                    back::Heard::Unknown => {
+                        counters.answers_unknown += 1;
+                        say!("an answer with an unknown id");
+                        continue;
+                    }
+                });
+            }
+            if let Some(fault) = fault {
+                if fault == back::WRONG_NAME {
+                    return Some(WRONG_NAME);
+                }
+                self.reducer.counters.shelf_faults += 1;
+                say!("a machine's answer can't be read: {}", fault.0);
+                return Some("unreadable");
+            }
+        }
+    }
+
+    pub(super) fn write_link(&mut self, key: LinkKey) -> Option<&'static str> {
+        let now = self.now();
+        let sock = self.link_socks.get_mut(&key)?;
+        while let Some(bytes) = self.links.output(key).filter(|_| sock.writable) {
+            match sock.write(bytes) {
+                Ok(bytes) => {
+                    if let Some((attempt, progress)) = self.links.wrote(now, key, bytes) {
+                        self.inbox.push(Input::Progressed { attempt, progress });
+                    }
+                }
+                Err(Io::Over(why)) => return Some(why),
+                Err(_) => break,
+            }
+        }
+        None
+    }
+
+    pub(super) fn link_down(&mut self, key: LinkKey, why: &'static str) {
+        let now = self.now();
+        if let Some(sock) = self.link_socks.remove(&key) {
+            self.handle.remove(sock.token);
+        }
+        let machine = self.links.member(key).map(CacheId::to_string).unwrap_or_default();
+        let endpoint = self.links.endpoint(key).cloned();
+        for (_, endpoint) in self.links.dials(key).into_iter().filter(|_| why == "not up in time") {
+            self.reducer.counters.dials_failed += 1;
+            say!({ machine, address = %endpoint, outcome = why } "no connection to {endpoint}: {why}");
+        }
+        let blame = match why {
+            "closed" | "broken" | "an answer stopped short" => Some(Failure::Broken),
+            "no greeting" => Some(Failure::Mute),
+            WRONG_NAME => Some(Failure::WrongName),
+            _ => None,
+        };
+        // A close at rest is how idle connections end.
+        let rested = self.links.rested(key) && why == "closed";
+        let ended = self.links.down(now, key, blame.filter(|_| !rested));
+        ended.dials.iter().for_each(|number| self.close_dial(*number));
+        ended.left.iter().for_each(say_left);
+        if let Some(endpoint) = endpoint.filter(|_| !ended.lost.is_empty()) {
+            let attempts = ended.lost.len();
+            say!({ machine, address = %endpoint, attempts, outcome = why }
+                "connection to {endpoint} lost with {attempts} attempts: {why}");
+        }
+        for (attempt, progress) in ended.lost {
+            self.inbox.push(Input::Ended { attempt, end: End::Lost(progress) });
+        }
+        ended.probes.into_iter().for_each(|member| self.probe_failed(member));
+        ended.moved.into_iter().for_each(|to| self.queued(to, true));
+    }
+}
+
+/// What a dial that fails at once says about its path: nothing, where this side has no room.
+fn blame(e: &io::Error) -> Option<Failure> {
+    let no_room = e.raw_os_error().is_some_and(|code| NO_ROOM.contains(&code));
+    (!no_room).then_some(Failure::Refused)
+}
+
+fn say_left(left: &Leave) {
+    let Leave { member, endpoint, why, pause_ms } = left;
+    say!({ machine = %member, address = %endpoint, outcome = %why }
+        "{member} is not reached over {endpoint} for {pause_ms:.0} ms: {why}");
+}
+
+/// Why a connection ends on which another machine than the one meant has answered.
+const WRONG_NAME: &str = "another machine answers there";
--- /dev/null
+++ b/src/runtime/mod.rs
@@ -0,0 +1,371 @@
+//! The event loop: sockets, clocks and signals. It turns what they bring into inputs, and carries out effects.
+
+mod board;
+mod clients;
+mod machines;
+mod socket;
+
+use crate::addresses::{DialKey, Endpoint};
+use crate::api::Millis;
+use crate::back::{LinkKey, Links};
+use crate::board::Follower;
+use crate::config::{Config, Sources};
+use crate::front::Conn;
+use crate::operator::Operator;
+use crate::reducer::{Effect, Input, Reducer, Reply};
+use crate::say;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, LoopHandle, Readiness, RegistrationToken};
+use socket::{listen, register, Sock};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// At the end: how long answers may take to leave, and how long what has left may take to arrive.
+const LAST_WRITES_MS: Millis = 250.0;
+const LAST_READS_MS: Millis = 60.0;
+/// Part of the memory limit that requests which are still coming in may take.
+const COMING_IN: f64 = 0.1;
+/// Time between looks for client connections whose client is silent or gone.
+const SWEEP_MS: Millis = 250.0;
+/// Longest sleep of the loop.
+const IDLE_MS: Millis = SWEEP_MS;
+
+/// What a readiness is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Source {
+    /// A machine's connection. These go first: one that has closed is known before it is used.
+    Link(LinkKey),
+    /// A dial that isn't a connection yet.
+    Dial(DialKey),
+    Board,
+    Front(u64),
+    Listener,
+}
+
+/// Inputs that wait for the reducer.
+#[derive(Debug, Default)]
+pub struct Inbox(VecDeque<Input>);
+
+impl Inbox {
+    /// Adds an input. How far an attempt has come goes before all else that waits: one that is given up by
+    /// another input must not pass for unsent when it has left.
+    pub fn push(&mut self, input: Input) {
+        match input {
+            Input::Progressed { .. } => self.0.push_front(input),
+            _ => self.0.push_back(input),
+        }
+    }
+
+    /// Takes the next one.
+    pub fn pop(&mut self) -> Option<Input> {
+        self.0.pop_front()
+    }
+}
+
+impl Extend<Input> for Inbox {
+    fn extend<T: IntoIterator<Item = Input>>(&mut self, inputs: T) {
+        inputs.into_iter().for_each(|input| self.push(input));
+    }
+}
+
+struct Runtime {
+    handle: LoopHandle<'static, Runtime>,
+    start: Instant,
+    reducer: Reducer,
+    inbox: Inbox,
+    ready: BTreeMap<Source, Readiness>,
+    signals: Vec<Signal>,
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    accept_from: Option<Millis>,
+    sweep_at: Millis,
+    fronts: BTreeMap<u64, (Sock, Conn)>,
+    next_front: u64,
+    links: Links,
+    link_socks: BTreeMap<LinkKey, Sock>,
+    /// Dials that are open, for which connection and where to.
+    dials: BTreeMap<DialKey, (LinkKey, Endpoint, Sock)>,
+    /// Bytes of requests that are still coming in, and the most there may be.
+    coming: usize,
+    most_coming: usize,
+    /// What is read again on SIGHUP.
+    sources: Sources,
+    /// Where the config has it listen.
+    listens: SocketAddr,
+    board_at: SocketAddr,
+    board: Option<(Sock, Vec<u8>)>,
+    follower: Follower,
+    /// Connections with something to write or, after their turn, to read.
+    dirty: BTreeSet<Source>,
+    exit_by: Option<Millis>,
+    buffer: Vec<u8>,
+}
+
+/// Serves until it is told to end.
+pub fn run(sources: Sources) -> Result<(), String> {
+    let (config, operator) = sources.load()?;
+    let io = |what: &str| {
+        let what = what.to_owned();
+        move |e: io::Error| format!("{what}: {e}")
+    };
+    let mut events: EventLoop<'static, Runtime> =
+        EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
+    let handle = events.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
+    let signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let noted =
+        |event: calloop::signals::Event, (): &mut (), state: &mut Runtime| state.signals.push(event.signal());
+    handle.insert_source(signals, noted).map_err(|e| format!("signals: {e}"))?;
+    std::panic::set_hook(Box::new(|panic| say!("{panic}")));
+    let start = Instant::now();
+    let reducer = Reducer::new(config.settings, config.net.clone(), config.seed, 0.0, unix_ms());
+    let listener = listen(config.listen).map_err(io("listen"))?;
+    let listener = Rc::new(listener);
+    let listens = listener.local_addr().map_err(io("listen"))?;
+    let token =
+        register(&handle, listener.clone(), Source::Listener, Interest::READ).map_err(io("listen"))?;
+    let net = &config.net;
+    let most = reducer.most_links();
+    let links = Links::with_rules(
+        net.dial_timeout_ms,
+        net.idle_ms,
+        net.streams,
+        most,
+        operator.addresses,
+        config.seed,
+    );
+    let mut state = Runtime {
+        handle,
+        start,
+        reducer,
+        inbox: Inbox::default(),
+        ready: BTreeMap::new(),
+        signals: Vec::new(),
+        listener: Some((listener, token)),
+        accept_from: None,
+        sweep_at: SWEEP_MS,
+        fronts: BTreeMap::new(),
+        next_front: 0,
+        links,
+        link_socks: BTreeMap::new(),
+        dials: BTreeMap::new(),
+        coming: 0,
+        most_coming: (config.net.memory as f64 * COMING_IN) as usize,
+        sources,
+        listens: config.listen,
+        board_at: config.board,
+        board: None,
+        follower: Follower::new(config.rev),
+        dirty: BTreeSet::new(),
+        exit_by: None,
+        buffer: vec![0; 64 * 1024],
+    };
+    let unix_ms = unix_ms();
+    state.inbox.extend(config.known.into_iter().map(|notice| Input::Notice { notice, unix_ms }));
+    state.work();
+    say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
+    while !state.over() {
+        let wait = Duration::from_secs_f64((state.wake() - state.now()).clamp(0.0, IDLE_MS) / 1000.0);
+        match events.dispatch(Some(wait), &mut state) {
+            Ok(()) => state.turn(),
+            Err(e) => say!("event loop: {e}"),
+        }
+    }
+    say!(always; "{} ends; {}", config.name, state.reducer.counters);
+    Ok(())
+}
+
+/// The system's Unix clock, for the times that the protocol names.
+fn unix_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
+}
+
+impl Runtime {
+    /// The monotonic clock, for the module and all timers.
+    fn now(&self) -> Millis {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn over(&self) -> bool {
+        let flushed = || self.fronts.values().all(|(_, conn)| conn.unwritten() == 0);
+        self.exit_by.is_some_and(|by| self.now() >= by || flushed())
+    }
+
+    /// When the loop is to wake up at the latest.
+    fn wake(&self) -> Millis {
+        if !self.dirty.is_empty() {
+            return 0.0;
+        }
+        let board = Some(self.follower.due);
+        let dues = [self.reducer.next_due(), self.links.next_due(), board, self.accept_from, self.exit_by];
+        dues.into_iter().flatten().fold(f64::INFINITY, f64::min)
+    }
+
+    /// One round: what is ready, then what is due.
+    fn turn(&mut self) {
+        for signal in std::mem::take(&mut self.signals) {
+            match signal {
+                Signal::SIGUSR1 => {
+                    let (clients, links) = (self.fronts.len(), self.links.count());
+                    let (requests, machines) = (self.reducer.open(), self.reducer.known_machines());
+                    say!(always; "now clients={clients} links={links} requests={requests} machines={machines}");
+                    say!(always; "{}", self.reducer.counters);
+                }
+                Signal::SIGHUP => self.reload(self.sources.load()),
+                _ => {
+                    say!("told to end; {} requests are open", self.reducer.open());
+                    self.inbox.push(Input::Terminate);
+                }
+            }
+        }
+        for (source, readiness) in std::mem::take(&mut self.ready) {
+            let sock = match source {
+                Source::Link(key) => self.link_socks.get_mut(&key),
+                Source::Dial(key) => self.dials.get_mut(&key).map(|(.., sock)| sock),
+                Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
+                Source::Board => self.board.as_mut().map(|(sock, _)| sock),
+                Source::Listener => None,
+            };
+            if let Some(sock) = sock {
+                sock.readable |= readiness.readable || readiness.error;
+                sock.writable |= readiness.writable || readiness.error;
+            }
+            self.dirty.insert(source);
+        }
+        let now = self.now();
+        if self.accept_from.is_some_and(|at| at <= now) {
+            self.accept_from = None;
+            self.dirty.insert(Source::Listener);
+        }
+        for source in std::mem::take(&mut self.dirty) {
+            self.serve(source);
+        }
+        self.links_due();
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP_MS;
+            self.sweep(now);
+        }
+        if self.follower.due <= self.now() {
+            self.poll_board();
+        }
+        if self.reducer.next_due().is_some_and(|at| at <= self.now()) {
+            self.inbox.push(Input::Due);
+        }
+        self.work();
+    }
+
+    /// Serves one connection. A panic stops there: the connection ends, the rest goes on.
+    fn serve(&mut self, source: Source) {
+        let served = catch_unwind(AssertUnwindSafe(|| match source {
+            Source::Link(key) => self.serve_link(key),
+            Source::Dial(key) => self.serve_dial(key),
+            Source::Front(key) => self.serve_front(key),
+            Source::Board => self.serve_board(),
+            Source::Listener => self.accept(),
+        }));
+        if served.is_err() {
+            self.reducer.counters.panics += 1;
+            say!("a panic ends {source:?}");
+            match source {
+                Source::Link(key) => self.link_down(key, "panic"),
+                Source::Dial(key) => self.close_dial(key),
+                Source::Front(key) => self.close_front(key),
+                Source::Board => self.board_failed("panic"),
+                Source::Listener => {}
+            }
+        }
+        self.work();
+    }
+
+    /// Gives the reducer its inputs and carries out its effects until nothing is left.
+    fn work(&mut self) {
+        while let Some(input) = self.inbox.pop() {
+            let now = self.now();
+            let step = catch_unwind(AssertUnwindSafe(|| self.reducer.step(now, input)));
+            let Ok(effects) = step else {
+                // The guard timers still answer whatever this leaves open.
+                self.reducer.counters.panics += 1;
+                say!("a panic ends the handling of one input");
+                continue;
+            };
+            effects.into_iter().for_each(|effect| self.carry_out(now, effect));
+        }
+    }
+
+    fn carry_out(&mut self, now: Millis, effect: Effect) {
+        match effect {
+            Effect::Answer { client, reply } => {
+                if let Some((_, conn)) = self.fronts.get_mut(&client.conn) {
+                    let owed = conn.answer(client.serial, &reply);
+                    self.dirty.insert(Source::Front(client.conn));
+                    // Taken back by its client in the same turn, it never leaves, and isn't on its way.
+                    let unowed = if owed { None } else { Some(reply) };
+                    if let Some(Reply::Served(body)) = unowed {
+                        self.inbox.push(Input::Flushed { conn: client.conn, bytes: body.len() });
+                    }
+                }
+            }
+            Effect::Send { attempt, member, call } => self.send(attempt, &member, &call),
+            Effect::Stop { attempt } => {
+                if let Some(key) = self.links.stop(now, attempt) {
+                    self.dirty.insert(Source::Link(key));
+                }
+            }
+            Effect::Probe { member } => match self.links.probe(now, &member) {
+                Ok((key, new)) => self.queued(key, new),
+                Err(_) => self.probe_failed(member),
+            },
+            Effect::Listed { member, listing: Some(listing) } => self.links.list(&member, listing),
+            Effect::Listed { member, listing: None } => self.links.forget(&member),
+            Effect::Retire { member } => self.links.retire(&member),
+            Effect::Reborn { member, at } => {
+                for key in self.links.older(&member, at) {
+                    self.link_down(key, "its machine has started anew");
+                }
+            }
+            Effect::Log(text) => say!("{text}"),
+            Effect::StopListening => {
+                if let Some((_, token)) = self.listener.take() {
+                    self.handle.remove(token);
+                }
+            }
+            Effect::Exit => self.exit_by = Some(now + LAST_WRITES_MS),
+        }
+    }
+
+    /// SIGHUP: takes over what can change while serving. A config that can't be read changes nothing.
+    fn reload(&mut self, read: Result<(Config, Operator), String>) {
+        let (config, operator) = match read {
+            Ok(read) => read,
+            Err(why) => return say!(always; "the new config is not taken, the old one stays: {why}"),
+        };
+        self.reducer.counters.reloads += 1;
+        say!(always; "config read anew; the board is at {}", config.board);
+        if config.listen != self.listens || config.settings != *self.reducer.settings() {
+            say!(always; "a new listen address or new settings take effect at the next start");
+        }
+        self.most_coming = (config.net.memory as f64 * COMING_IN) as usize;
+        self.reducer.set_net(config.net);
+        self.links.set_most(self.reducer.most_links());
+        self.links.set_rules(operator.addresses);
+        if config.board != self.board_at {
+            // The old board tells nothing more: what it has begun to say is asked for again, at the new one.
+            self.board_at = config.board;
+            self.drop_board();
+            self.follower.moved(self.now());
+        }
+    }
+}
+
+impl Drop for Runtime {
+    /// What has left may still be on its way: closing at once could throw it away with a reset.
+    fn drop(&mut self) {
+        for (sock, ..) in self.fronts.values() {
+            let _ = sock.stream.shutdown(Shutdown::Write);
+        }
+        std::thread::sleep(Duration::from_secs_f64(LAST_READS_MS / 1000.0));
+    }
+}
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -1,7 +1,8 @@
 //! Models of a connection's states, against which random steps are checked. Seeded: each run takes the same.
 
+use frostturn::addresses::Listing;
 use frostturn::api::*;
-use frostturn::back::{Heard as Back, Links};
+use frostturn::back::{Heard as Back, Links, Unsent};
 use frostturn::fastcgi::{self, kind, Decoder, Record};
 use frostturn::front::{Conn, Heard, Standing};
 use frostturn::reducer::{Ask, Call, Progress, Reply};
@@ -333,8 +334,8 @@
     let _ =
         Conn::new(0.0).receive(0.0, &[begin(1, 1), vec![1, 4, 0, 1, 0, 9, 0, 0], bytes.to_vec()].concat());
     let (mut links, member) = (links(), CacheId::from("m"));
-    let (key, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
-    links.up(0.0, key);
+    let (key, _) = links.send(0.0, 1, &member, &call("a")).expect("room");
+    up(&mut links, 0.0, key);
     let _ = links.receive(0.0, key, bytes);
     let _ = links.receive(0.0, key, &[b"*2\r\n$1\r\na\r\n".to_vec(), bytes.to_vec()].concat());
     true
@@ -345,7 +346,23 @@
 }
 
 fn links() -> Links {
-    Links::new(400.0, 30_000.0, 100, 40)
+    let mut links = Links::new(400.0, 30_000.0, 100, 40);
+    list(&mut links, &CacheId::from("m"), 1);
+    links
+}
+
+/// The notice board has said where a machine listens.
+fn list(links: &mut Links, member: &CacheId, port: u16) {
+    let listing = Listing { phase: Phase::Serving, address: Some(address(port)), cold_until: None };
+    links.list(member, listing);
+}
+
+/// The one dial for a connection is up, if it isn't yet.
+fn up(links: &mut Links, now: Millis, key: u64) {
+    links.poll(now);
+    if let Some((dial, _)) = links.dials(key).first().cloned() {
+        assert_eq!(links.up(now, key, dial), Some(vec![]), "there is no other");
+    }
 }
 
 fn call(id: &str) -> Call {
@@ -372,9 +389,9 @@
 #[test]
 fn a_request_and_its_answer_are_worded_as_the_protocol_says() {
     let (mut links, member) = (links(), CacheId::from("m"));
-    let (key, new) = links.send(0.0, 5, &member, address(1), &call("a")).expect("room");
+    let (key, new) = links.send(0.0, 5, &member, &call("a")).expect("room");
     assert!(new && links.output(key).is_none(), "not before it is up");
-    links.up(0.0, key);
+    up(&mut links, 0.0, key);
     let fields = "cls=page,item=7f3a,limit=901,fetch=p,retain=2,newer=15,handle=coalesce+freshen";
     let bytes = resp::frame(&[b"REQ", b"a", fields.as_bytes(), b""]);
     assert_eq!(links.output(key), Some(&bytes[..]));
@@ -394,7 +411,7 @@
     assert_eq!(links.receive(9.0, key, &reply("a", "DONE")).0, [Back::Late], "a second copy");
     assert_eq!(links.receive(9.0, key, &reply("never", "DONE")).0, [Back::Unknown], "an id never issued");
     // Nor would the id go out on it again: what still comes under it would be taken for the answer.
-    assert_ne!(links.send(9.0, 6, &member, address(1), &call("a")).map(|(key, _)| key), Some(key));
+    assert_ne!(links.send(9.0, 6, &member, &call("a")).map(|(key, _)| key), Ok(key));
     assert!(links.receive(9.0, key, b"*1\r\n$x\r\n").1.is_some());
 }
 
@@ -441,7 +458,7 @@
                 Step::Send { id } => {
                     next += 1;
                     let id = format!("id-{id}");
-                    let Some((key, new)) = links.send(now, next, &member, address(1), &call(&id)) else {
+                    let Ok((key, new)) = links.send(now, next, &member, &call(&id)) else {
                         continue;
                     };
                     assert_eq!(new, !wrote.contains_key(&key));
@@ -456,7 +473,7 @@
                     assert_eq!(links.stop(now, attempt), key);
                     assert_eq!(links.stop(now, attempt), None, "once");
                 }
-                Step::Up { which } => pick(which).into_iter().for_each(|key| links.up(now, key)),
+                Step::Up { which } => pick(which).into_iter().for_each(|key| up(&mut links, now, key)),
                 Step::Write { which, most } => {
                     let Some(key) = pick(which) else { continue };
                     let Some(bytes) = links.output(key) else { continue };
@@ -494,7 +511,7 @@
                 Step::Down { which } => {
                     let Some(key) = pick(which) else { continue };
                     let was_up = links.is_up(key);
-                    let ended = links.down(now, key);
+                    let ended = links.down(now, key, None);
                     let lost: BTreeSet<u64> = ended.lost.iter().map(|(attempt, _)| *attempt).collect();
                     for (attempt, progress) in ended.lost {
                         let (_, on) = out.remove(&attempt).expect("it was out");
@@ -527,20 +544,20 @@
 #[test]
 fn a_mute_connection_gets_nothing_more_and_a_sound_clears_it() {
     let (mut links, member) = (links(), CacheId::from("m"));
-    let (first, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
-    links.up(0.0, first);
+    let (first, _) = links.send(0.0, 1, &member, &call("a")).expect("room");
+    up(&mut links, 0.0, first);
     let bytes = links.output(first).map_or(0, <[u8]>::len);
     links.wrote(0.0, first, bytes);
-    assert_eq!(links.send(300.0, 2, &member, address(1), &call("b")), Some((first, false)));
-    let (second, new) = links.send(900.0, 3, &member, address(1), &call("c")).expect("room");
+    assert_eq!(links.send(300.0, 2, &member, &call("b")), Ok((first, false)));
+    let (second, new) = links.send(900.0, 3, &member, &call("c")).expect("room");
     assert!(new && second != first, "its machine may have vanished");
     links.receive(950.0, first, &reply("a", "LACK"));
-    assert_eq!(links.send(960.0, 4, &member, address(1), &call("d")), Some((first, false)));
+    assert_eq!(links.send(960.0, 4, &member, &call("d")), Ok((first, false)));
     // Nor does one take the id again that it has given up: the old answer could come yet.
     let bytes = links.output(first).map_or(0, <[u8]>::len);
     links.wrote(960.0, first, bytes);
     links.stop(970.0, 2);
-    assert_ne!(links.send(980.0, 5, &member, address(1), &call("b")).map(|(key, _)| key), Some(first));
+    assert_ne!(links.send(980.0, 5, &member, &call("b")).map(|(key, _)| key), Ok(first));
     assert_eq!(links.receive(990.0, first, &reply("b", "DONE")).0, [Back::Late]);
 }
 
@@ -548,14 +565,14 @@
 fn all_connections_that_take_over_from_one_that_closed_are_told_of() {
     // One that is forgotten is never dialled, and what waits on it is lost.
     let (mut links, member) = (links(), CacheId::from("m"));
-    let (first, _) = links.send(0.0, 1, &member, address(1), &call("id-1")).expect("room");
-    links.up(0.0, first);
+    let (first, _) = links.send(0.0, 1, &member, &call("id-1")).expect("room");
+    up(&mut links, 0.0, first);
     for attempt in 2..=20 {
-        links.send(0.0, attempt, &member, address(1), &call(&format!("id-{attempt}")));
+        links.send(0.0, attempt, &member, &call(&format!("id-{attempt}"))).expect("room");
     }
     assert_eq!(links.count(), 8, "a bounded number, each dialled only beside crowded ones");
     let own: Vec<u64> = (1..=20).filter(|attempt| links.carrier(*attempt) == Some(first)).collect();
-    let ended = links.down(1.0, first);
+    let ended = links.down(1.0, first, None);
     let carriers: BTreeSet<u64> = own.iter().filter_map(|attempt| links.carrier(*attempt)).collect();
     assert_eq!(
         (ended.lost, own.len()),
@@ -568,8 +585,8 @@
 #[test]
 fn an_answer_that_stops_short_ends_its_connection_and_a_spoilt_one_is_no_answer() {
     let written = |links: &mut Links, attempt: u64, id: &str| {
-        let (key, _) = links.send(0.0, attempt, &CacheId::from("m"), address(1), &call(id)).expect("room");
-        links.up(0.0, key);
+        let (key, _) = links.send(0.0, attempt, &CacheId::from("m"), &call(id)).expect("room");
+        up(links, 0.0, key);
         let bytes = links.output(key).map_or(0, <[u8]>::len);
         links.wrote(0.0, key, bytes);
         key
@@ -581,7 +598,7 @@
     links.receive(100.0, key, &whole[..20]);
     assert_eq!(links.expired(350.0), vec![]);
     assert_eq!(links.expired(450.0), [(key, "an answer stopped short")]);
-    assert_eq!(links.down(450.0, key).lost, [(1, Progress::WrittenWhole)], "it may have run");
+    assert_eq!(links.down(450.0, key, None).lost, [(1, Progress::WrittenWhole)], "it may have run");
     // One that comes byte by byte never stops, and isn't whole for just as long; several in turn are.
     let (drips, turns) = (written(&mut links, 2, "a"), written(&mut links, 3, "b"));
     for (at, byte) in whole.iter().enumerate().take(20) {
@@ -591,8 +608,8 @@
         let over = if now < 1000.0 { vec![] } else { vec![(drips, "an answer stopped short")] };
         assert_eq!(links.expired(now), over, "at {now}");
     }
-    links.down(2000.0, drips);
-    links.down(2000.0, turns);
+    links.down(2000.0, drips, None);
+    links.down(2000.0, turns, None);
     for (at, spoilt) in [
         resp::frame(&[b"a", b"HUH", b"-", b""]),
         resp::frame(&[b"a", b"DONE", b"-"]),
@@ -606,7 +623,7 @@
         let key = written(&mut links, 10 + at as u64, "a");
         let (heard, fault) = links.receive(0.0, key, &spoilt);
         assert!(heard.is_empty() && fault.is_some(), "{heard:?}");
-        links.down(0.0, key);
+        links.down(0.0, key, None);
     }
 }
 
@@ -615,14 +632,14 @@
     let (mut links, member) = (links(), CacheId::from("m"));
     let alone = |id: &str| Call { alone: true, ..call(id) };
     let keys = [alone("a"), call("b"), call("c"), alone("d")];
-    let keys = keys.iter().zip(1..).map(|(call, at)| links.send(0.0, at, &member, address(1), call));
+    let keys = keys.iter().zip(1..).map(|(call, at)| links.send(0.0, at, &member, call));
     let keys: Vec<u64> = keys.map(|sent| sent.expect("room").0).collect();
     assert!(keys[1] == keys[2] && keys[0] != keys[1] && keys[3] != keys[1] && keys[0] != keys[3], "{keys:?}");
     // A machine that takes each connection and closes it must not keep the router busy with dialling.
     let mut key = keys[0];
     let moves = (0..20).take_while(|_| {
-        links.up(0.0, key);
-        let ended = links.down(0.0, key);
+        up(&mut links, 0.0, key);
+        let ended = links.down(0.0, key, None);
         key = ended.moved.first().copied().unwrap_or(0);
         ended.lost.is_empty()
     });
@@ -633,30 +650,31 @@
 fn near_the_bound_on_connections_new_machines_still_find_one() {
     let mut links = Links::new(400.0, 30_000.0, 100, 16);
     let members: Vec<CacheId> = (0..20).map(|at| CacheId::from(format!("m{at}").as_str())).collect();
+    members.iter().for_each(|member| list(&mut links, member, 1));
     // Two busy machines take what they may; a quarter stays for first connections to others.
     for attempt in 0..40 {
         let member = &members[attempt as usize % 2];
-        links.send(0.0, attempt, member, address(1), &call(&format!("id-{attempt}"))).expect("room");
+        links.send(0.0, attempt, member, &call(&format!("id-{attempt}"))).expect("room");
     }
     assert_eq!(links.count(), 12);
     for (attempt, member) in (102..).zip(&members[2..6]) {
-        let (key, new) = links.send(0.0, attempt, member, address(1), &call("a")).expect("room");
-        links.up(0.0, key);
+        let (key, new) = links.send(0.0, attempt, member, &call("a")).expect("room");
+        up(&mut links, 0.0, key);
         assert!(new);
     }
-    assert_eq!(links.send(0.0, 200, &members[6], address(1), &call("a")), None, "all are in use");
+    assert_eq!(links.send(0.0, 200, &members[6], &call("a")), Err(Unsent::NoRoom), "all are in use");
     // One that rests makes room: it is closed next, though its idle time isn't over.
     let rests = links.stop(5.0, 102).expect("it was out");
-    assert!(links.send(6.0, 201, &members[6], address(1), &call("a")).is_some_and(|(_, new)| new));
+    assert!(links.send(6.0, 201, &members[6], &call("a")).is_ok_and(|(_, new)| new));
     assert_eq!(links.expired(6.0), [(rests, "idle")]);
 }
 
 #[test]
 fn connections_end_when_idle_retired_or_not_up_in_time() {
     let (mut links, member) = (links(), CacheId::from("m"));
-    let (key, _) = links.send(0.0, 1, &member, address(1), &call("a")).expect("room");
+    let (key, _) = links.send(0.0, 1, &member, &call("a")).expect("room");
     assert_eq!((links.expired(399.0), links.expired(400.0)), (vec![], vec![(key, "not up in time")]));
-    links.up(10.0, key);
+    up(&mut links, 10.0, key);
     assert!(links.expired(60_000.0).is_empty(), "it carries something");
     links.stop(50.0, 1);
     assert_eq!(
@@ -666,8 +684,10 @@
     );
     // Addresses are used again: another name, or another address, never shares a connection.
     let other = CacheId::from("n");
-    assert!(links.send(60.0, 2, &other, address(1), &call("a")).is_some_and(|(_, new)| new));
-    assert!(links.send(60.0, 3, &member, address(2), &call("b")).is_some_and(|(_, new)| new));
+    list(&mut links, &other, 1);
+    assert!(links.send(60.0, 2, &other, &call("a")).is_ok_and(|(_, new)| new));
+    list(&mut links, &member, 2);
+    assert!(links.send(60.0, 3, &member, &call("b")).is_ok_and(|(_, new)| new));
     links.retire(&member);
     assert!(links.expired(70.0).contains(&(key, "idle")));
     assert_eq!(links.older(&other, 61.0).len(), 1);
