--- /dev/null
+++ b/crates/frostturn-lab/src/check.rs
@@ -0,0 +1,291 @@
+//! The rules, checked from outside: what clients sent and got, what arrived at machines, what the board told.
+//!
+//! Pure: events go in with their times, a verdict comes out. Nothing is taken from the router's own counters.
+
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+
+/// Milliseconds since the run began.
+pub type Millis = f64;
+
+/// Work may still arrive at a machine for so long after it was told to drain: the rule's second, and 50 ms.
+const DRAIN_MS: Millis = 1050.0;
+/// As long after a purge an older copy may still answer.
+const PURGE_MS: Millis = 1050.0;
+/// An answer this late after the client has given up is counted as none; the stand-ins themselves may be late.
+const LATE_MS: Millis = 100.0;
+
+/// What a client got.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// Served, with a copy of that Unix time; 0: not a copy.
+    Served { stamp_ms: f64 },
+    /// Refused: a retry does no harm.
+    Refused,
+    /// Anything else.
+    Failed,
+}
+
+/// Broken rules, by rule.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Rules {
+    /// Requests without exactly one final answer before their client gave up.
+    pub lost: u64,
+    /// Requests that went out again though they might have run.
+    pub doubled: u64,
+    /// Work that arrived at a machine over a second after it was to get none.
+    pub drain: u64,
+    /// Windows in which a cold machine was asked for more than its budget.
+    pub cold: u64,
+    /// Answers with a copy from before a purge.
+    pub purge: u64,
+}
+
+impl Rules {
+    /// Whether none is broken.
+    pub fn kept(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Requests, and how they ended.
+    pub requests: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// Broken rules.
+    pub rules: Rules,
+    /// Some of them in words.
+    pub examples: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    most: u64,
+    object: u64,
+    sent: Millis,
+    patience: Millis,
+    answers: Vec<(Millis, Answer)>,
+    arrivals: u64,
+}
+
+#[derive(Debug)]
+struct Cold {
+    since: Millis,
+    until: Millis,
+    /// Units that any second of it may bring.
+    budget: u64,
+    work: Vec<Millis>,
+}
+
+/// Gathers what happens.
+#[derive(Debug, Default)]
+pub struct Checker {
+    asked: HashMap<u64, Asked>,
+    drained: BTreeMap<usize, Millis>,
+    cold: Vec<(usize, Cold)>,
+    purges: HashMap<u64, Vec<(Millis, f64)>>,
+    rules: Rules,
+    examples: Vec<String>,
+}
+
+impl Checker {
+    /// A client has sent a request whole, and waits so long. Its class allows `most` attempts that may run.
+    pub fn asked(&mut self, id: u64, most: u64, object: u64, sent: Millis, patience: Millis) {
+        self.asked.insert(id, Asked { most, object, sent, patience, answers: Vec::new(), arrivals: 0 });
+    }
+
+    /// A client has a whole answer.
+    pub fn answered(&mut self, id: u64, at: Millis, answer: Answer) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        asked.answers.push((at, answer));
+        let Answer::Served { stamp_ms } = answer else { return };
+        let purged = self.purges.get(&asked.object).into_iter().flatten();
+        let old =
+            purged.filter(|(told, made)| asked.sent > told + PURGE_MS && stamp_ms > 0.0 && stamp_ms < *made);
+        if old.count() > 0 {
+            self.rules.purge += 1;
+            self.note(format!("purge: {id:x} got an older copy"));
+        }
+    }
+
+    /// When a request was sent.
+    pub fn sent(&self, id: u64) -> Option<Millis> {
+        self.asked.get(&id).map(|asked| asked.sent)
+    }
+
+    /// A request has arrived whole at a machine, where it may have run. `begun` is when its first byte came. True
+    /// if it had come to some machine before.
+    pub fn arrived(&mut self, id: u64, machine: usize, begun: Millis) -> bool {
+        self.work(machine, begun);
+        if let Some(told) = self.drained.get(&machine).filter(|told| begun > *told + DRAIN_MS) {
+            let late = begun - told;
+            self.rules.drain += 1;
+            self.note(format!("drain: {id:x} came to machine {machine} {late:.0} ms after the word"));
+        }
+        let Some(asked) = self.asked.get_mut(&id) else { return false };
+        asked.arrivals += 1;
+        let again = asked.arrivals > 1;
+        if asked.arrivals > asked.most {
+            self.rules.doubled += 1;
+            self.note(format!("doubled: {id:x} came to machine {machine} again"));
+        }
+        again
+    }
+
+    /// A connection was accepted: a handshake is work.
+    pub fn shaken(&mut self, machine: usize, at: Millis) {
+        self.work(machine, at);
+    }
+
+    fn work(&mut self, machine: usize, at: Millis) {
+        let cold =
+            self.cold.iter_mut().filter(|(of, cold)| *of == machine && at >= cold.since && at < cold.until);
+        cold.for_each(|(_, cold)| cold.work.push(at));
+    }
+
+    /// The board has told that a machine drains or is gone; `None`: that it serves.
+    pub fn told(&mut self, machine: usize, drained: Option<Millis>) {
+        match drained {
+            Some(at) => drop(self.drained.entry(machine).or_insert(at)),
+            None => drop(self.drained.remove(&machine)),
+        }
+    }
+
+    /// A machine has started cold: until then no second may bring more than its budget.
+    pub fn started_cold(&mut self, machine: usize, since: Millis, until: Millis, budget: u64) {
+        self.cold.push((machine, Cold { since, until, budget, work: Vec::new() }));
+    }
+
+    /// An object was purged at a Unix time, and the board told so.
+    pub fn purged(&mut self, object: u64, told: Millis, made_unix_ms: f64) {
+        self.purges.entry(object).or_default().push((told, made_unix_ms));
+    }
+
+    fn note(&mut self, text: String) {
+        if self.examples.len() < 20 {
+            self.examples.push(text);
+        }
+    }
+
+    /// All is over.
+    pub fn finish(mut self) -> Verdict {
+        let mut verdict = Verdict { requests: self.asked.len() as u64, ..Verdict::default() };
+        let mut lost = Vec::new();
+        for (id, asked) in &self.asked {
+            let by = asked.sent + asked.patience + LATE_MS;
+            let [(at, answer)] = asked.answers[..] else {
+                lost.push(format!("lost: {id:x} has {} answers", asked.answers.len()));
+                continue;
+            };
+            if at > by {
+                lost.push(format!("lost: {id:x} was answered {:.0} ms after it was sent", at - asked.sent));
+            }
+            *match answer {
+                Answer::Served { .. } => &mut verdict.served,
+                Answer::Refused => &mut verdict.refused,
+                Answer::Failed => &mut verdict.failed,
+            } += 1;
+        }
+        self.rules.lost += lost.len() as u64;
+        lost.into_iter().for_each(|text| self.note(text));
+        for (machine, cold) in std::mem::take(&mut self.cold) {
+            let mut work = cold.work;
+            work.sort_by(f64::total_cmp);
+            let most =
+                (0..work.len()).map(|at| work[at..].partition_point(|w| *w < work[at] + 1000.0) as u64);
+            if let Some(most) = most.max().filter(|most| *most > cold.budget) {
+                self.rules.cold += 1;
+                self.note(format!(
+                    "cold: machine {machine} got {most} in a second, {} are allowed",
+                    cold.budget
+                ));
+            }
+        }
+        Verdict { rules: self.rules, examples: self.examples, ..verdict }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    //! Each rule is broken once by what a wrong router would do: a check that can't fail is none.
+
+    use super::*;
+
+    fn served(checker: &mut Checker, id: u64, at: Millis) {
+        checker.answered(id, at, Answer::Served { stamp_ms: 0.0 });
+    }
+
+    #[test]
+    fn a_router_that_keeps_the_rules_passes() {
+        let mut checker = Checker::default();
+        checker.asked(1, 1, 7, 0.0, 1000.0);
+        checker.arrived(1, 0, 5.0);
+        served(&mut checker, 1, 10.0);
+        let verdict = checker.finish();
+        assert!(verdict.rules.kept() && verdict.served == 1, "{:?}", verdict.examples);
+    }
+
+    #[test]
+    fn one_that_says_nothing_late_or_twice_loses_requests() {
+        let mut checker = Checker::default();
+        (1..=3).for_each(|id| checker.asked(id, 2, 7, 0.0, 1000.0));
+        served(&mut checker, 2, 1200.0);
+        served(&mut checker, 3, 10.0);
+        served(&mut checker, 3, 11.0);
+        assert_eq!(checker.finish().rules.lost, 3);
+    }
+
+    #[test]
+    fn one_that_sends_a_swap_over_another_address_doubles_it() {
+        let mut checker = Checker::default();
+        checker.asked(1, 1, 7, 0.0, 1000.0);
+        checker.asked(2, 2, 7, 0.0, 1000.0);
+        for id in [1, 2] {
+            checker.arrived(id, 0, 5.0);
+            checker.arrived(id, 0, 90.0);
+            served(&mut checker, id, 95.0);
+        }
+        assert_eq!(checker.finish().rules.doubled, 1);
+    }
+
+    #[test]
+    fn one_that_goes_on_sending_to_a_draining_machine_breaks_the_rule_on_drains() {
+        let mut checker = Checker::default();
+        checker.told(3, Some(0.0));
+        for (id, at) in [(1, 900.0), (2, 1100.0)] {
+            checker.asked(id, 2, 7, at, 1000.0);
+            checker.arrived(id, 3, at);
+            served(&mut checker, id, at + 1.0);
+        }
+        checker.told(3, None);
+        checker.arrived(1, 3, 5000.0);
+        assert_eq!(checker.finish().rules.drain, 1);
+    }
+
+    #[test]
+    fn one_that_storms_a_cold_machine_with_handshakes_breaks_its_budget() {
+        let mut checker = Checker::default();
+        checker.started_cold(2, 0.0, 5000.0, 10);
+        checker.started_cold(3, 0.0, 5000.0, 10);
+        for at in 0..12 {
+            checker.shaken(2, 100.0 + f64::from(at));
+            checker.shaken(3, 100.0 + 200.0 * f64::from(at));
+        }
+        assert_eq!(checker.finish().rules.cold, 1);
+    }
+
+    #[test]
+    fn one_that_serves_an_older_copy_breaks_the_rule_on_purges() {
+        let mut checker = Checker::default();
+        checker.purged(7, 100.0, 5000.0);
+        for (id, at, stamp_ms) in [(1, 1000.0, 4000.0), (2, 1200.0, 4000.0), (3, 1200.0, 6000.0)] {
+            checker.asked(id, 2, 7, at, 1000.0);
+            checker.answered(id, at + 5.0, Answer::Served { stamp_ms });
+        }
+        assert_eq!(checker.finish().rules.purge, 1);
+    }
+}
--- /dev/null
+++ b/crates/frostturn-lab/src/clients.rs
@@ -0,0 +1,259 @@
+//! Stand-in clients: FastCGI connections with an open loop of requests, whose arrivals don't wait for answers.
+
+use crate::check::Answer;
+use crate::world::World;
+use frostturn::fastcgi::{self, kind, Decoder};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, Zipf};
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Requests open on one connection, as the front's web servers have it.
+const MAX_OPEN: usize = 32;
+/// Connections to a router.
+const MAX_CONNS: usize = 48;
+/// Objects that are asked for, by Zipf's law.
+const OBJECTS: f64 = 400.0;
+
+/// A class of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: &'static str,
+    /// Part of all requests.
+    pub share: f64,
+    /// How long its clients wait.
+    pub patience_ms: f64,
+    /// An answer within that counts for its worth.
+    pub aim_ms: f64,
+    /// What it is worth.
+    pub worth: f64,
+    /// Attempts that may run.
+    pub most: u64,
+    /// It is of an object.
+    pub object: bool,
+}
+
+/// What the branches ask for.
+pub const CLASSES: [Class; 3] = [
+    Class {
+        name: "training-video",
+        share: 0.25,
+        patience_ms: 2500.0,
+        aim_ms: 400.0,
+        worth: 1.0,
+        most: 4,
+        object: true,
+    },
+    Class {
+        name: "rota-page",
+        share: 0.65,
+        patience_ms: 1500.0,
+        aim_ms: 250.0,
+        worth: 2.0,
+        most: 4,
+        object: true,
+    },
+    Class {
+        name: "shift-swap",
+        share: 0.10,
+        patience_ms: 2000.0,
+        aim_ms: 600.0,
+        worth: 8.0,
+        most: 1,
+        object: false,
+    },
+];
+
+/// What a load came to.
+#[derive(Debug)]
+pub struct Load {
+    /// Latency of what was served, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Worth asked for, and answered within the aim.
+    pub worth: f64,
+    pub worth_served: f64,
+    /// What could not be sent, as the router took no more connections.
+    pub unsent: u64,
+}
+
+#[derive(Debug)]
+struct Sent {
+    id: u64,
+    class: usize,
+    at: f64,
+    head: Vec<u8>,
+}
+
+struct Conn {
+    stream: TcpStream,
+    open: Arc<Mutex<HashMap<u16, Sent>>>,
+}
+
+/// Sends `rate` requests a second to a router for so long, and waits for the answers.
+pub fn run(world: &Arc<World>, router: SocketAddr, rate: f64, for_ms: f64, seed: u64) -> Load {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let load = Arc::new(Mutex::new(Load {
+        latency: Histogram::new_with_bounds(1, 60_000_000, 3).expect("sound bounds"),
+        worth: 0.0,
+        worth_served: 0.0,
+        unsent: 0,
+    }));
+    let gaps = Exp::new(rate / 1e3).expect("a positive rate");
+    let objects = Zipf::new(OBJECTS, 0.9).expect("sound figures");
+    let mut conns: Vec<Conn> = Vec::new();
+    let (start, mut next) = (world.now(), world.now());
+    while next < start + for_ms {
+        let wait = next - world.now();
+        if wait > 0.0 {
+            thread::sleep(Duration::from_secs_f64(wait / 1e3));
+        }
+        let draw: f64 = rng.random();
+        let mut class = 0;
+        let mut below = CLASSES[0].share;
+        while draw > below && class + 1 < CLASSES.len() {
+            class += 1;
+            below += CLASSES[class].share;
+        }
+        let (id, object) = (rng.next_u64(), 0x1000 + objects.sample(&mut rng) as u64);
+        send(world, router, &mut conns, &load, class, id, object);
+        next += gaps.sample(&mut rng);
+    }
+    // The last answers come by then, or never.
+    let longest = CLASSES.iter().map(|class| class.patience_ms).fold(0.0, f64::max);
+    let until = world.now() + longest + 300.0;
+    let open = |conns: &[Conn]| conns.iter().any(|conn| !lock(&conn.open).is_empty());
+    while world.now() < until && open(&conns) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    conns.iter().for_each(|conn| drop(conn.stream.shutdown(Shutdown::Both)));
+    let mut load = lock(&load);
+    Load {
+        latency: load.latency.clone(),
+        worth: load.worth,
+        worth_served: load.worth_served,
+        unsent: std::mem::take(&mut load.unsent),
+    }
+}
+
+fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn send(
+    world: &Arc<World>,
+    router: SocketAddr,
+    conns: &mut Vec<Conn>,
+    load: &Arc<Mutex<Load>>,
+    class: usize,
+    id: u64,
+    object: u64,
+) {
+    let kept = &CLASSES[class];
+    lock(load).worth += kept.worth;
+    let free = conns.iter().map(|conn| lock(&conn.open).len()).enumerate().min_by_key(|(_, open)| *open);
+    let at = match free
+        .filter(|(_, open)| *open < MAX_OPEN / 4 || (conns.len() >= MAX_CONNS && *open < MAX_OPEN))
+    {
+        Some((at, _)) => at,
+        None if conns.len() < MAX_CONNS => match connect(world, router, load) {
+            Some(conn) => {
+                conns.push(conn);
+                conns.len() - 1
+            }
+            None => {
+                lock(load).unsent += 1;
+                return;
+            }
+        },
+        None => {
+            lock(load).unsent += 1;
+            return;
+        }
+    };
+    let conn = &mut conns[at];
+    let now = world.now();
+    let request = {
+        let mut open = lock(&conn.open);
+        let Some(request) = (1..=MAX_OPEN as u16).find(|request| !open.contains_key(request)) else { return };
+        open.insert(request, Sent { id, class, at: now, head: Vec::new() });
+        request
+    };
+    world.seen().checker.asked(id, kept.most, object, now, kept.patience_ms);
+    let (mut out, mut params) = (Vec::new(), Vec::new());
+    fastcgi::record(&mut out, kind::BEGIN, request, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    let mut pair = |name: &str, value: String| fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
+    pair("SCRIPT_NAME", format!("/ops/{}", kept.name));
+    pair("HTTP_X_REQUEST_ID", format!("{id:016x}"));
+    pair("HTTP_X_TIMEOUT_MS", format!("{:.0}", kept.patience_ms));
+    if kept.object {
+        pair("HTTP_X_OBJECT", format!("{object:016x}"));
+        pair("HTTP_X_CHUNK", "0".to_owned());
+        pair("HTTP_X_TAG", format!("{}", object % 16));
+        pair("HTTP_X_MEMORY_KB", "1.2".to_owned());
+    }
+    for (what, content) in [(kind::PARAMS, &params[..]), (kind::PARAMS, b""), (kind::STDIN, b"")] {
+        fastcgi::record(&mut out, what, request, content);
+    }
+    // One that can't be written was not taken; what is open on its connection will never be answered.
+    let _ = conn.stream.write_all(&out);
+}
+
+fn connect(world: &Arc<World>, router: SocketAddr, load: &Arc<Mutex<Load>>) -> Option<Conn> {
+    let stream = TcpStream::connect_timeout(&router, Duration::from_secs(1)).ok()?;
+    stream.set_nodelay(true).ok()?;
+    let open: Arc<Mutex<HashMap<u16, Sent>>> = Arc::default();
+    let (reader, opened, world, load) = (stream.try_clone().ok()?, open.clone(), world.clone(), load.clone());
+    thread::spawn(move || read(reader, &opened, &world, &load));
+    Some(Conn { stream, open })
+}
+
+fn read(mut stream: TcpStream, open: &Mutex<HashMap<u16, Sent>>, world: &World, load: &Mutex<Load>) {
+    let (mut decoder, mut buffer) = (Decoder::default(), vec![0; 64 * 1024]);
+    while let Ok(bytes @ 1..) = stream.read(&mut buffer) {
+        decoder.feed(&buffer[..bytes]);
+        while let Ok(Some(record)) = decoder.next_record() {
+            match record.kind {
+                kind::STDOUT => {
+                    if let Some(sent) = lock(open).get_mut(&record.request) {
+                        sent.head.extend_from_slice(&record.content);
+                    }
+                }
+                kind::END => {
+                    let Some(sent) = lock(open).remove(&record.request) else { continue };
+                    answered(&sent, &record.content, world, load);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn answered(sent: &Sent, end: &[u8], world: &World, load: &Mutex<Load>) {
+    let now = world.now();
+    let text = String::from_utf8_lossy(&sent.head[..sent.head.len().min(400)]);
+    let status = text.strip_prefix("Status: ").and_then(|rest| rest.get(..3)).unwrap_or_default();
+    let answer = match status {
+        "200" => {
+            let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+            Answer::Served { stamp_ms: body.lines().next().and_then(|line| line.parse().ok()).unwrap_or(0.0) }
+        }
+        "429" | "503" => Answer::Refused,
+        _ if end.get(4) == Some(&fastcgi::status::OVERLOADED) => Answer::Refused,
+        _ => Answer::Failed,
+    };
+    world.seen().checker.answered(sent.id, now, answer);
+    if let Answer::Served { .. } = answer {
+        let mut load = lock(load);
+        load.latency.saturating_record(((now - sent.at) * 1e3).max(1.0) as u64);
+        if now - sent.at <= CLASSES[sent.class].aim_ms {
+            load.worth_served += CLASSES[sent.class].worth;
+        }
+    }
+}
--- /dev/null
+++ b/crates/frostturn-lab/src/daemon.rs
@@ -0,0 +1,195 @@
+//! The real daemon as a process: this laboratory's own executable begun anew, or another build's by its path.
+
+use frostturn::fastcgi::{self, kind, Decoder};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
+use serde_json::{json, Value};
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How to start one.
+#[derive(Debug)]
+pub struct Start<'a> {
+    /// Where its files go.
+    pub dir: &'a Path,
+    /// Another build; `None`: this one.
+    pub program: Option<&'a Path>,
+    /// The operator's file.
+    pub operator: Option<&'a Path>,
+    /// The notice board.
+    pub board: SocketAddr,
+    /// The board's events so far.
+    pub known: Value,
+    /// Draws its random choices.
+    pub seed: u64,
+}
+
+/// One that runs.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// What it wrote.
+    pub log: PathBuf,
+}
+
+impl Daemon {
+    /// Starts one and waits until it is ready.
+    pub fn start(how: &Start<'_>) -> Result<Self, String> {
+        let config = json!({
+            "name": "lab", "listen": "127.0.0.1:0", "seed": format!("{:x}", how.seed), "board": how.board.to_string(),
+            "limits": { "cores": 1.0, "memory_mb": 32, "sockets": 1024 }, "known": how.known, "settings": settings(),
+        });
+        let (path, log) = (how.dir.join("config.json"), how.dir.join("daemon.log"));
+        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let file = File::create(&log).map_err(|e| format!("{}: {e}", log.display()))?;
+        let mut command = match how.program {
+            Some(program) => Command::new(program),
+            None => {
+                let own = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
+                let mut command = Command::new(own);
+                command.arg("daemon");
+                command
+            }
+        };
+        command.env("PROXY_CONFIG", &path).env_remove("PROXY_LISTEN").env_remove("PROXY_NAME");
+        command.env_remove("FROSTTURN_LOG").env_remove("FROSTTURN_OPERATOR");
+        if let Some(operator) = how.operator {
+            command.env("FROSTTURN_OPERATOR", operator);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(file).spawn();
+        let child = child.map_err(|e| format!("the daemon can't be started: {e}"))?;
+        let mut daemon = Self { child, address: ([127, 0, 0, 1], 0).into(), log };
+        let until = Instant::now() + Duration::from_secs(10);
+        loop {
+            let text = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+            let address = text.split("listens on ").nth(1).and_then(|rest| rest.split(',').next());
+            if let Some(address) = address.and_then(|address| address.parse().ok()) {
+                daemon.address = address;
+                if alive(address) {
+                    return Ok(daemon);
+                }
+            }
+            if Instant::now() > until || !matches!(daemon.child.try_wait(), Ok(None)) {
+                return Err(format!("the daemon doesn't become ready: {text}"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn pid(&self) -> Option<Pid> {
+        Pid::from_raw(self.child.id() as i32)
+    }
+
+    /// Has it read its files again.
+    pub fn reload(&self) {
+        self.pid().map(|pid| kill_process(pid, Signal::HUP));
+    }
+
+    /// Files it holds open.
+    pub fn descriptors(&self) -> u64 {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |dir| dir.count() as u64)
+    }
+
+    /// Bounds the descriptors that it may open.
+    pub fn bound_descriptors(&self, most: u64) {
+        let limit = Rlimit { current: Some(most), maximum: Some(1 << 16) };
+        if let Err(e) = prlimit(self.pid(), Resource::Nofile, limit) {
+            eprintln!("descriptors can't be bounded: {e}");
+        }
+    }
+
+    /// CPU it has used, in milliseconds, and the most memory it has held, in KB.
+    pub fn used(&self) -> (f64, u64) {
+        let read = |what: &str| {
+            std::fs::read_to_string(format!("/proc/{}/{what}", self.child.id())).unwrap_or_default()
+        };
+        // Fields 14 and 15, counted behind the name in brackets: user and system time in ticks of 10 ms.
+        let stat = read("stat");
+        let ticks = stat.rsplit(") ").next().unwrap_or_default().split(' ').skip(11).take(2);
+        let ticks: u64 = ticks.filter_map(|field| field.parse::<u64>().ok()).sum();
+        let peak = read("status")
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:")?.split_whitespace().next()?.parse().ok());
+        (ticks as f64 * 10.0, peak.unwrap_or(0))
+    }
+
+    /// Tells it to end; true if it did so well.
+    pub fn end(mut self) -> bool {
+        self.pid().map(|pid| kill_process(pid, Signal::TERM));
+        let until = Instant::now() + Duration::from_secs(6);
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for Daemon {
+    /// None is left behind, however a run ends.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The module's settings for the small site.
+fn settings() -> Value {
+    let class = |name: &str, aim: f64, deadline: f64, worth: f64, repeat: &str| {
+        json!({ "Name": name, "AimMs": aim, "AimStretch": 1.0, "HardLimitMs": deadline, "Repeat": repeat,
+            "Worth": worth, "LateWorth": 0.2 })
+    };
+    json!({
+        "Az": "east", "Localities": ["east"], "MachineTypes": ["std", "upper", "core"], "Instances": 1,
+        "Discovery": "push", "Weights": "nominal", "Stats": { "Source": "piggyback" },
+        "Limits": { "MostTries": 4, "Cancelling": true, "Probes": false, "RetryAfter": true, "MaxRetryAfterMs": 5000,
+            "SecondCopies": true, "DialTimeoutMs": 400, "ConnIdleMs": 30000, "StreamsPerConn": 32, "MaxOpen": 4096 },
+        "Guarantees": { "GraceToAnswerMs": 0, "StopSendingWithinMs": 1000, "ColdFrom": 0.25, "ColdMs": 4000,
+            "FallMultiple": 3.0, "OverloadForMs": 1000 },
+        "FamilyInfo": { "InstancesByZone": [1], "ZoneHub": [0], "LinkInKbPerS": [0.0], "SecondTierKind": 1,
+            "MasterKind": 2, "BypassAllowed": false, "Joins": true, "Detail": "all", "Sideways": "none",
+            "OneFlowKbPerS": 10000, "ParentColdFrom": 0.25, "UpperColdMs": 4000, "UpperFallMultiple": 3.0,
+            "NoticeTimeMs": 1000, "GoneEverywhereMs": 1000, "GoodForMs": [20000, 20000, 0],
+            "StaleForMs": [20000, 20000, 0], "StaleEarns": [0.8, 0.8, 0], "InPieces": [false, false, false],
+            "Uncached": [false, false, true] },
+        "RequestClasses": [ class("training-video", 400.0, 2500.0, 1.0, "retryable"),
+            class("rota-page", 250.0, 1500.0, 2.0, "retryable"), class("shift-swap", 600.0, 2000.0, 8.0, "fragile") ],
+    })
+}
+
+/// Whether a router says that it is ready.
+fn alive(address: SocketAddr) -> bool {
+    let asked = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        let (mut out, mut params) = (Vec::new(), Vec::new());
+        fastcgi::record(&mut out, kind::BEGIN, 1, &[0, 1, 0, 0, 0, 0, 0, 0]);
+        fastcgi::pair(&mut params, b"SCRIPT_NAME", b"/alive");
+        for (what, content) in [(kind::PARAMS, &params[..]), (kind::PARAMS, b""), (kind::STDIN, b"")] {
+            fastcgi::record(&mut out, what, 1, content);
+        }
+        stream.write_all(&out)?;
+        let (mut decoder, mut buffer) = (Decoder::default(), [0; 4096]);
+        loop {
+            let bytes = stream.read(&mut buffer)?;
+            decoder.feed(&buffer[..bytes]);
+            while let Ok(Some(record)) = decoder.next_record() {
+                if record.kind == kind::STDOUT {
+                    return Ok(String::from_utf8_lossy(&record.content).into_owned());
+                }
+            }
+            if bytes == 0 {
+                return Ok(String::new());
+            }
+        }
+    };
+    asked().is_ok_and(|text| text.starts_with("Status: 200 "))
+}
--- a/crates/frostturn-lab/src/main.rs
+++ b/crates/frostturn-lab/src/main.rs
@@ -1,1 +1,121 @@
-fn main() {}
+//! The laboratory: the real daemon against stand-ins on loopback. It shows what the users' benches can't.
+
+#![forbid(unsafe_code)]
+
+mod board;
+mod check;
+mod clients;
+mod daemon;
+mod machines;
+mod report;
+mod scenarios;
+mod site;
+mod world;
+
+use clap::{Args, Parser, Subcommand};
+use scenarios::{Options, Scenario, ALL};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Runs the real daemon against stand-ins on loopback.
+#[derive(Debug, Parser)]
+#[command(name = "frostturn-lab", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// A first look: a small site served for some seconds, with a summary
+    Up(Flags),
+    /// The scenarios there are
+    List,
+    /// Run one; code 0 only if no rule was broken and every bound kept
+    Run {
+        /// Its name, as `list` prints it
+        scenario: String,
+        #[command(flatten)]
+        flags: Flags,
+    },
+    /// The daemon itself, as the other commands start it
+    #[command(hide = true)]
+    Daemon,
+}
+
+#[derive(Args, Clone, Debug)]
+struct Flags {
+    /// Draws failures and load
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Print one JSON object as the last line
+    #[arg(long)]
+    json: bool,
+    /// Write figures as CSV into this folder
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Measure another build of the daemon
+    #[arg(long, value_name = "FILE")]
+    daemon: Option<PathBuf>,
+    /// Tell the daemon of each machine's first address alone, for comparison
+    #[arg(long)]
+    first_only: bool,
+    /// Give the daemon no operator's file: one address each, as on the platform
+    #[arg(long)]
+    plain: bool,
+    /// No failures
+    #[arg(long)]
+    calm: bool,
+    /// Seconds of load
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// Requests a second
+    #[arg(long)]
+    rate: Option<f64>,
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Daemon => frostturn::cli::serve(),
+        Command::List => {
+            ALL.iter().for_each(|one| println!("{:12} {}", one.name, one.about));
+            ExitCode::SUCCESS
+        }
+        Command::Up(flags) => run("up", &flags),
+        Command::Run { scenario, flags } => run(&scenario, &flags),
+    }
+}
+
+fn run(name: &str, flags: &Flags) -> ExitCode {
+    let Some(Scenario { run, .. }) = ALL.iter().find(|one| one.name == name) else {
+        let known: Vec<&str> = ALL.iter().map(|one| one.name).collect();
+        eprintln!("no scenario {name:?}; there are {}", known.join(", "));
+        return ExitCode::from(2);
+    };
+    let Flags { seed, json, out, daemon, first_only, plain, calm, seconds, rate } = flags.clone();
+    match run(&Options { seed, daemon, first_only, plain, calm, seconds, rate, out }) {
+        Ok(report) => {
+            report.print(json);
+            if report.good() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// What first requests on connections paid, as CSV.
+fn write_firsts(out: &Path, seen: &world::Seen) -> std::io::Result<()> {
+    std::fs::create_dir_all(out)?;
+    let mut file = std::fs::File::create(out.join("firsts.csv"))?;
+    writeln!(file, "machine,way,at_ms,after_ms")?;
+    seen.firsts.iter().try_for_each(|first| {
+        writeln!(file, "{},{},{:.2},{:.3}", first.machine, first.way, first.at, first.after_ms)
+    })
+}
--- /dev/null
+++ b/crates/frostturn-lab/src/scenarios/addresses.rs
@@ -0,0 +1,276 @@
+//! Machines with three ways each, all of which fail in all ways, two at once as well.
+
+use super::Options;
+use crate::check::Millis;
+use crate::clients;
+use crate::daemon::Daemon;
+use crate::machines::Failure;
+use crate::report::{Bound, Report};
+use crate::site::{entry, Site, Status};
+use crate::world::Seen;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeSet;
+use std::thread;
+use std::time::Duration;
+
+const BOXES: usize = 8;
+const RATE: f64 = 1850.0;
+const SECONDS: f64 = 34.0;
+/// No failure begins before then: connections come up and the module learns.
+const QUIET_MS: Millis = 1500.0;
+/// Boxes of which one way or two fail; the others fail as machines.
+const BY_WAY: usize = 5;
+/// A box that starts anew is cold for so long, and any second may bring it so much.
+const COLD_MS: Millis = 4000.0;
+const COLD_BUDGET: u64 = 400;
+/// The attempt delay that the operator's file sets at most, and what a dial may cost beyond it.
+const DELAY_MS: Millis = 80.0;
+const BEYOND_MS: Millis = 40.0;
+/// A request that came so much later than usual has paid for something.
+const PAID_MS: Millis = 10.0;
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+enum Act {
+    Fail(usize, usize, Failure),
+    Replace(usize, usize),
+    Tell(usize, Status, bool),
+    /// The last box's address is listed under another name.
+    Twin(Status),
+    /// These ways are in the operator's file no more.
+    Reload(Vec<(usize, usize)>),
+    Descriptors(bool),
+    Purge(u64),
+}
+
+/// A time in which a way fails.
+#[derive(Clone, Copy, Debug)]
+struct Spell {
+    machine: usize,
+    way: usize,
+    from: Millis,
+    to: Millis,
+    failure: Failure,
+}
+
+#[derive(Debug, Default)]
+struct Plan {
+    acts: Vec<(Millis, Act)>,
+    spells: Vec<Spell>,
+}
+
+impl Plan {
+    fn fail(&mut self, machine: usize, way: usize, failure: Failure, from: Millis, to: Millis) {
+        self.acts.push((from, Act::Fail(machine, way, failure)));
+        self.acts.push((to, Act::Fail(machine, way, Failure::None)));
+        self.spells.push(Spell { machine, way, from, to, failure });
+    }
+
+    /// Draws all that happens until `end`.
+    fn draw(seed: u64, end: Millis) -> Self {
+        use Failure::{
+            BlackHole, Missing, NeverAnswers, Refused, ResetRead, ResetUnread, StallsAfterRead,
+            StallsHalfway, WrongName, WrongType,
+        };
+        let mut rng = StdRng::seed_from_u64(seed ^ 0xadd7_e55e);
+        let mut plan = Self::default();
+        // Each failure on each kind of way; a full queue refuses on a Unix socket, where nothing hangs.
+        let mut kinds: Vec<(usize, Option<Failure>)> = Vec::new();
+        for way in 0..3 {
+            let all =
+                [Refused, NeverAnswers, StallsAfterRead, StallsHalfway, ResetUnread, ResetRead, WrongName];
+            kinds.extend(all.into_iter().map(|failure| (way, Some(failure))));
+            kinds.push((way, Some(if way == 0 { Missing } else { BlackHole })));
+            kinds.push((way, None)); // It flaps.
+        }
+        kinds.push((0, Some(WrongType)));
+        kinds.push((0, Some(BlackHole)));
+        kinds.shuffle(&mut rng);
+        let mut free = [QUIET_MS; BY_WAY];
+        for (turn, (way, failure)) in kinds.into_iter().cycle().enumerate() {
+            let machine = turn % BY_WAY;
+            let from = free[machine] + rng.random_range(100.0..700.0);
+            let to = from + rng.random_range(1500.0..4500.0);
+            if to > end - 1000.0 {
+                break;
+            }
+            free[machine] = to;
+            match failure {
+                Some(failure) => plan.fail(machine, way, failure, from, to),
+                None => {
+                    let mut at = from;
+                    while at + 600.0 <= to {
+                        plan.fail(machine, way, Refused, at, at + 300.0);
+                        at += 600.0;
+                    }
+                }
+            }
+            if way == 0 && rng.random_bool(0.5) {
+                plan.acts.push((to + 50.0, Act::Replace(machine, 0)));
+            }
+            if rng.random_bool(0.3) {
+                let other = (way + 1 + rng.random_range(0..2)) % 3;
+                let second = [Refused, StallsAfterRead, ResetRead][rng.random_range(0..3)];
+                let from = rng.random_range(from..(from + to) / 2.0);
+                plan.fail(machine, other, second, from, to);
+            }
+        }
+        // A box that dies and comes back cold, with one way before the others.
+        let mut at = QUIET_MS + rng.random_range(500.0..2500.0);
+        while at + 9000.0 < end {
+            let (back, first) = (at + rng.random_range(800.0..1600.0), rng.random_range(0..3));
+            for way in 0..3 {
+                let late = if way == first { 0.0 } else { 1200.0 };
+                plan.fail(BY_WAY, way, Refused, at, back + late);
+            }
+            plan.acts.push((back, Act::Tell(BY_WAY, Status::Active, true)));
+            at = back + rng.random_range(5000.0..8000.0);
+        }
+        // A box that drains, while its address is listed under a second name as well.
+        let mut at = QUIET_MS + rng.random_range(500.0..4000.0);
+        while at + 9000.0 < end {
+            let last = BOXES - 1;
+            plan.acts.push((at, Act::Tell(last, Status::Leaving, false)));
+            plan.acts.push((at + 200.0, Act::Twin(Status::Active)));
+            plan.acts.push((at + 3200.0, Act::Twin(Status::Left)));
+            plan.acts.push((at + 3300.0, Act::Tell(last, Status::Left, false)));
+            plan.acts.push((at + 4300.0, Act::Tell(last, Status::Active, true)));
+            at += rng.random_range(9000.0..12_000.0);
+        }
+        // A reload that takes the first way of a box away, and one that gives it back.
+        let mut at = QUIET_MS + rng.random_range(2000.0..5000.0);
+        while at + 6000.0 < end {
+            plan.acts.push((at, Act::Reload(vec![(BY_WAY + 1, 0)])));
+            plan.acts.push((at + 3500.0, Act::Reload(vec![])));
+            at += rng.random_range(8000.0..11_000.0);
+        }
+        // No descriptors for a second, in the middle of other failures.
+        let at = rng.random_range(end * 0.3..end * 0.7);
+        plan.acts.push((at, Act::Descriptors(true)));
+        plan.acts.push((at + 1000.0, Act::Descriptors(false)));
+        for _ in 0..6 {
+            plan.acts.push((rng.random_range(QUIET_MS..end), Act::Purge(0x1001 + rng.random_range(0..5))));
+        }
+        plan.acts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        plan
+    }
+
+    /// Has it all happen; what each failure met: its time and the connections that were open on its way.
+    fn play(&self, site: &Site, daemon: &Daemon, start: Millis) -> Vec<(usize, Millis, i64)> {
+        let mut met = Vec::new();
+        for (at, act) in &self.acts {
+            let wait = start + at - site.world.now();
+            if wait > 0.0 {
+                thread::sleep(Duration::from_secs_f64(wait / 1e3));
+            }
+            match act {
+                Act::Fail(machine, way, failure) => {
+                    if *failure != Failure::None {
+                        let now = site.world.now();
+                        let open = site.world.seen().open.get(&(*machine, *way)).copied().unwrap_or(0);
+                        met.push((*machine, now, open));
+                        if *machine == BY_WAY {
+                            site.boxes[*machine].forget();
+                        }
+                    }
+                    site.boxes[*machine].ways[*way].fail(*failure);
+                }
+                Act::Replace(machine, way) => site.boxes[*machine].ways[*way].replace(),
+                Act::Tell(machine, status, cold) => {
+                    if *cold {
+                        site.boxes[*machine].forget();
+                    }
+                    site.tell(*machine, *status, cold.then_some((COLD_MS, COLD_BUDGET)));
+                }
+                Act::Twin(status) => {
+                    let address = site.boxes[BOXES - 1].address();
+                    site.tell_entry(entry("s-twin", address, "std", *status, 0.0));
+                }
+                Act::Reload(without) => {
+                    let without: BTreeSet<(usize, usize)> = without.iter().copied().collect();
+                    if site.write_operator(&without).is_ok() {
+                        let now = site.world.now();
+                        daemon.reload();
+                        site.world.seen().taken_away = without.into_iter().map(|way| (way, now)).collect();
+                    }
+                }
+                Act::Descriptors(short) => {
+                    daemon.bound_descriptors(if *short { daemon.descriptors() } else { 1024 });
+                }
+                Act::Purge(object) => site.purge(*object),
+            }
+        }
+        met
+    }
+}
+
+/// Plays it.
+pub fn run(options: &Options) -> Result<Report, String> {
+    let seconds = options.seconds.unwrap_or(SECONDS);
+    let plan = if options.calm { Plan::default() } else { Plan::draw(options.seed, seconds * 1e3) };
+    let site = Site::start(BOXES, options.first_only)?;
+    let daemon = site.daemon(options.daemon.as_deref(), options.plain, options.seed)?;
+    let (world, address, rate) = (site.world.clone(), daemon.address, options.rate.unwrap_or(RATE));
+    let (start, seed) = (world.now(), options.seed);
+    let load = thread::spawn(move || clients::run(&world, address, rate, seconds * 1e3, seed));
+    let met = plan.play(&site, &daemon, start);
+    let load = load.join().map_err(|_| "the clients panicked".to_owned())?;
+    let (mut report, seen, _) = site.finish("addresses", seed, daemon, &load);
+    if let Some(out) = &options.out {
+        crate::write_firsts(out, &seen).map_err(|e| format!("{}: {e}", out.display()))?;
+    }
+    if !options.calm {
+        bounds(&mut report, &plan, start, &seen, &met);
+    }
+    Ok(report)
+}
+
+fn quantile(mut values: Vec<f64>, q: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let at = ((values.len() as f64 * q).ceil() as usize).clamp(1, values.len().max(1)) - 1;
+    values.get(at).copied().unwrap_or(0.0)
+}
+
+fn bounds(report: &mut Report, plan: &Plan, start: Millis, seen: &Seen, met: &[(usize, Millis, i64)]) {
+    let usual = quantile(seen.usual.clone(), 0.5);
+    // What firsts paid on a way while a better one of their machine failed so.
+    let paid = |fails: &dyn Fn(Failure) -> bool, after: Millis| {
+        let during = |machine: usize, way: usize, at: Millis| {
+            let spell = |s: &&Spell| s.machine == machine && s.way < way && fails(s.failure);
+            plan.spells.iter().filter(spell).any(|s| at >= start + s.from + after && at <= start + s.to)
+        };
+        let firsts = seen.firsts.iter().filter(|first| during(first.machine, first.way, first.at));
+        firsts.map(|first| (first.after_ms - usual).max(0.0)).collect::<Vec<f64>>()
+    };
+    use Failure::{BlackHole, Missing, Refused, WrongType};
+    let refused = |failure| matches!(failure, Refused | Missing | WrongType);
+    let hole = |failure| failure == BlackHole;
+    report.bounds.push(Bound::most("failover_refused_p99_ms", quantile(paid(&refused, 0.0), 0.99), 10.0));
+    let limit = DELAY_MS + BEYOND_MS;
+    report.bounds.push(Bound::most("failover_blackhole_p99_ms", quantile(paid(&hole, 0.0), 0.99), limit));
+    // Later than 2 s after a way died: requests that came on it and were lost, and those that paid for a dial.
+    let dead = |machine: usize, at: Millis| {
+        let of = plan.spells.iter().filter(|s| s.machine == machine);
+        of.filter(|s| at >= start + s.from + 2000.0 && at <= start + s.to).map(|s| s.way).collect::<Vec<_>>()
+    };
+    let lost = seen.paid.iter().filter(|(machine, way, at)| dead(*machine, *at).contains(way)).count();
+    let dialled = paid(&|_| true, 2000.0).into_iter().filter(|paid| *paid > PAID_MS).count();
+    let all = seen.arrivals.iter().filter(|(machine, at)| !dead(*machine, *at).is_empty()).count();
+    let share = (lost + dialled) as f64 / all.max(1) as f64;
+    report.bounds.push(Bound::most("repaid_share", share, 0.01));
+    report.bounds.push(Bound::most("doubled_swaps", report.rules.doubled as f64, 0.0));
+    report.bounds.push(Bound::most("late_to_drained", report.rules.drain as f64, 0.0));
+    report.bounds.push(Bound::most("to_wrong_name", seen.wrong_name as f64, 0.0));
+    report.bounds.push(Bound::most("after_reload", seen.after_reload as f64, 0.0));
+    // Handshakes that a failure brought its machine within 2 s, for each connection that it cost.
+    let within = |(machine, at, _): &&(usize, Millis, i64)| {
+        seen.accepts.iter().filter(|(m, _, when)| m == machine && *when > *at && *when < at + 2000.0).count()
+    };
+    let single = met.iter().filter(|(machine, ..)| *machine < BY_WAY);
+    let (dials, cost) = single
+        .fold((0.0, 0.0), |(dials, cost), one| (dials + within(&one) as f64, cost + one.2.max(1) as f64));
+    report.bounds.push(Bound::most("dials_per_failure", dials / f64::max(cost, 1.0), 3.0));
+    report.bounds.push(Bound::least("requests", report.requests as f64, 60_000.0));
+}
--- /dev/null
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -0,0 +1,45 @@
+//! What can be run. A seed fixes the failures and the load.
+
+pub mod addresses;
+pub mod up;
+
+use crate::report::Report;
+use std::path::PathBuf;
+
+/// How to run one.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Draws failures and load.
+    pub seed: u64,
+    /// Another build of the daemon.
+    pub daemon: Option<PathBuf>,
+    /// The daemon is told of each machine's first way alone.
+    pub first_only: bool,
+    /// The daemon gets no operator's file.
+    pub plain: bool,
+    /// No failures.
+    pub calm: bool,
+    /// Seconds of load.
+    pub seconds: Option<f64>,
+    /// Requests a second.
+    pub rate: Option<f64>,
+    /// Where figures go.
+    pub out: Option<PathBuf>,
+}
+
+/// A scenario's name, what it does, and how it is run.
+pub struct Scenario {
+    pub name: &'static str,
+    pub about: &'static str,
+    pub run: fn(&Options) -> Result<Report, String>,
+}
+
+/// All of them.
+pub const ALL: [Scenario; 2] = [
+    Scenario { name: "up", about: "a small site, served for some seconds", run: up::run },
+    Scenario {
+        name: "addresses",
+        about: "machines with three ways each, all of which fail in all ways",
+        run: addresses::run,
+    },
+];
--- /dev/null
+++ b/crates/frostturn-lab/src/site.rs
@@ -0,0 +1,178 @@
+//! A small site: boxes with several ways each, a parent and the origin, the board, and the operator's file.
+
+use crate::board::Board;
+use crate::check::{Millis, Verdict};
+use crate::clients::Load;
+use crate::daemon::{Daemon, Start};
+use crate::machines::{Machine, Place};
+use crate::report::Report;
+use crate::world::{unix_ms, Seen, World};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// How a machine stands on the board.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Active,
+    Leaving,
+    Left,
+}
+
+/// A site that runs.
+#[derive(Debug)]
+pub struct Site {
+    pub world: Arc<World>,
+    pub board: Arc<Board>,
+    /// Cache boxes, then the parent and the origin.
+    pub boxes: Vec<Arc<Machine>>,
+    pub dir: PathBuf,
+    operator: PathBuf,
+    first_only: bool,
+}
+
+/// One machine as the board lists it.
+pub fn entry(name: &str, address: std::net::SocketAddr, kind: &str, status: Status, since_ms: f64) -> Value {
+    let status = match status {
+        Status::Active => "active",
+        Status::Leaving => "leaving",
+        Status::Left => "left",
+    };
+    json!({ "name": name, "address": address.to_string(), "zone": "east", "type": kind, "group": 1,
+        "status": status, "weight": 1, "since_ms": since_ms })
+}
+
+impl Site {
+    /// Starts `count` boxes, a parent and the origin. `first_only`: the router is told of each box's first way
+    /// alone.
+    pub fn start(count: usize, first_only: bool) -> Result<Self, String> {
+        let io = |e: std::io::Error| format!("stand-ins: {e}");
+        let world = Arc::new(World::new());
+        let dir = std::env::temp_dir().join(format!("frostturn-lab-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).map_err(io)?;
+        let mut boxes = Vec::new();
+        for index in 0..count {
+            let name = format!("s-{index:08x}");
+            boxes.push(Machine::start(&world, index, &name, "std", &dir).map_err(io)?);
+        }
+        for (index, name, kind) in [(count, "u-parent", "upper"), (count + 1, "o-origin", "core")] {
+            boxes.push(Machine::start(&world, index, name, kind, &dir).map_err(io)?);
+        }
+        let listed: Vec<Value> =
+            boxes.iter().map(|one| entry(&one.name, one.address(), one.kind, Status::Active, 0.0)).collect();
+        let pool = json!({ "pool": { "index": 1, "snapshot": true, "endpoints": listed } });
+        let board = Board::start(&world, pool).map_err(io)?;
+        let site = Self { world, board, boxes, operator: dir.join("operator.scm"), dir, first_only };
+        site.write_operator(&BTreeSet::new())?;
+        Ok(site)
+    }
+
+    /// Writes the operator's file, without the ways that are taken away.
+    pub fn write_operator(&self, without: &BTreeSet<(usize, usize)>) -> Result<(), String> {
+        let order = if self.first_only { "unix" } else { "unix ipv6 ipv4" };
+        let mut text =
+            format!("(frostturn (addresses (order {order}) (attempt-delay 20ms 80ms) (names checked)\n");
+        for one in &self.boxes {
+            let ways = one.ways.iter().enumerate().filter(|(at, _)| !without.contains(&(one.index, *at)));
+            let ways = ways.take(if self.first_only { 1 } else { one.ways.len() });
+            let mut listed = String::new();
+            for (_, way) in ways {
+                let _ = match &way.place {
+                    Place::Unix(path) => write!(listed, " (unix \"{}\")", path.display()),
+                    Place::Tcp(address) => write!(listed, " (tcp \"{address}\")"),
+                };
+            }
+            if listed.is_empty() {
+                continue;
+            }
+            let _ = writeln!(text, "  (machine \"{}\"{listed})", one.name);
+        }
+        text.push_str("))\n");
+        std::fs::write(&self.operator, text).map_err(|e| format!("the operator's file: {e}"))
+    }
+
+    /// Starts the daemon.
+    pub fn daemon(&self, program: Option<&Path>, plain: bool, seed: u64) -> Result<Daemon, String> {
+        let operator = (!plain).then_some(self.operator.as_path());
+        let known = self.board.known();
+        Daemon::start(&Start { dir: &self.dir, program, operator, board: self.board.address, known, seed })
+    }
+
+    /// Has the board tell how a box stands; `cold_for` from a start now.
+    pub fn tell(&self, index: usize, status: Status, cold: Option<(Millis, u64)>) {
+        let one = &self.boxes[index];
+        let since = if cold.is_some() { unix_ms() } else { 0.0 };
+        let now = self.world.now();
+        {
+            let mut seen = self.world.seen();
+            seen.checker.told(index, (status != Status::Active).then_some(now));
+            if let Some((cold_ms, budget)) = cold {
+                seen.checker.started_cold(index, now, now + cold_ms, budget);
+            }
+        }
+        self.tell_entry(entry(&one.name, one.address(), "std", status, since.floor()));
+    }
+
+    /// Has the board tell one entry.
+    pub fn tell_entry(&self, entry: Value) {
+        self.board.tell(json!({ "pool": { "index": 1, "snapshot": false, "endpoints": [entry] } }));
+    }
+
+    /// Has the board tell of a purge, now.
+    pub fn purge(&self, object: u64) {
+        let (now, made) = (self.world.now(), unix_ms().floor());
+        self.world.seen().checker.purged(object, now, made);
+        // What the stand-ins hold from before stays: the router must ask for younger copies.
+        self.board.tell(json!({ "flush": { "asset": format!("{object:016x}"), "ms": made } }));
+    }
+
+    /// Ends all and puts the figures together.
+    pub fn finish(
+        self,
+        scenario: &'static str,
+        seed: u64,
+        daemon: Daemon,
+        load: &Load,
+    ) -> (Report, Seen, Result<(), String>) {
+        let (cpu_ms, peak_kb) = daemon.used();
+        let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+        let well = daemon.end();
+        self.world.end();
+        let mut seen = self.world.take();
+        let Verdict { requests, served, refused, failed, rules, mut examples } =
+            std::mem::take(&mut seen.checker).finish();
+        let ended = if !well || log.contains("panic") {
+            let last: Vec<&str> = log.lines().rev().take(5).collect();
+            Err(format!("the daemon did not end well: {}", last.join(" | ")))
+        } else {
+            Ok(())
+        };
+        examples.extend(ended.as_ref().err().cloned());
+        let report = Report {
+            scenario,
+            seed,
+            requests,
+            served,
+            refused,
+            failed,
+            worth: load.worth_served / load.worth.max(1.0),
+            p50_ms: load.latency.value_at_quantile(0.5) as f64 / 1e3,
+            p99_ms: load.latency.value_at_quantile(0.99) as f64 / 1e3,
+            cpu_us: cpu_ms * 1e3 / requests.max(1) as f64,
+            memory_mb: peak_kb as f64 / 1024.0,
+            rules,
+            bounds: Vec::new(),
+            examples,
+        };
+        (report, seen, ended)
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.world.end();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
--- /dev/null
+++ b/crates/frostturn-lab/src/world.rs
@@ -0,0 +1,90 @@
+//! What all stand-ins share: the clock, the checker, and what was seen of connections.
+
+use crate::check::{Checker, Millis};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// The first request on a connection: what it paid for getting there.
+#[derive(Clone, Copy, Debug)]
+pub struct First {
+    /// The machine.
+    pub machine: usize,
+    /// The way by which it came.
+    pub way: usize,
+    /// When it was whole at the machine.
+    pub at: Millis,
+    /// From when its client sent it.
+    pub after_ms: Millis,
+}
+
+/// What stand-ins note beside the rules.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// The rules.
+    pub checker: Checker,
+    /// Connections accepted: machine, way, when.
+    pub accepts: Vec<(usize, usize, Millis)>,
+    /// First requests on connections.
+    pub firsts: Vec<First>,
+    /// Times from client to machine of all other requests, for comparison.
+    pub usual: Vec<Millis>,
+    /// Requests that came on a way that fails, and resets under what was not read.
+    pub paid: Vec<(usize, usize, Millis)>,
+    /// Connections that are open, by machine and way.
+    pub open: BTreeMap<(usize, usize), i64>,
+    /// Requests that came on a way that somebody else than their machine answers.
+    pub wrong_name: u64,
+    /// New connections carrying work on a way that a new operator's file had taken away.
+    pub after_reload: u64,
+    /// Ways that were taken away, and when.
+    pub taken_away: BTreeMap<(usize, usize), Millis>,
+    /// Requests that came: machine, when.
+    pub arrivals: Vec<(usize, Millis)>,
+}
+
+/// One run's surroundings.
+#[derive(Debug)]
+pub struct World {
+    start: Instant,
+    seen: Mutex<Seen>,
+    over: AtomicBool,
+}
+
+impl World {
+    /// It begins now.
+    pub fn new() -> Self {
+        Self { start: Instant::now(), seen: Mutex::default(), over: AtomicBool::new(false) }
+    }
+
+    /// Milliseconds since it began.
+    pub fn now(&self) -> Millis {
+        self.start.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// What was seen.
+    pub fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Takes all that was seen.
+    pub fn take(&self) -> Seen {
+        std::mem::take(&mut *self.seen())
+    }
+
+    /// All stand-ins end.
+    pub fn end(&self) {
+        self.over.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether they are to end.
+    pub fn over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+}
+
+/// The Unix time.
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1e3)
+}
--- a/src/addresses/book.rs
+++ b/src/addresses/book.rs
@@ -325,7 +325,7 @@
         }
     }
 
-    /// Something was answered over it: it works.
+    /// A request was answered over it: it works. A greeting that is answered shows less: who is there.
     pub fn answered(&mut self, now: Millis, member: &CacheId, endpoint: &Endpoint) {
         if let Some(path) = self.path(member, endpoint) {
             (path.proved, path.failures, path.paused_until) = (Some(now), 0, 0.0);
--- a/src/back.rs
+++ b/src/back.rs
@@ -133,7 +133,7 @@
     up: Option<Millis>,
     /// It carries nothing until its machine has answered a greeting, for which it waits since then.
     greeting: Option<Millis>,
-    /// It is there to see whether this path works.
+    /// It is there to see whether this path works, until something is answered on it.
     trial: Option<Endpoint>,
     /// Its silence was told to the book.
     blamed: bool,
@@ -167,10 +167,18 @@
     }
 
     fn takes(&self, now: Millis, book: &Book, id: &str, streams: usize) -> bool {
-        let way = self.endpoint.as_ref().is_none_or(|endpoint| book.takes(now, &self.member, endpoint));
+        let way = match (&self.trial, &self.endpoint) {
+            // One request at a time shows whether a path works again.
+            (Some(tried), Some(_)) => {
+                self.greeting.is_none() && self.open.is_empty() && book.own(now, &self.member, tried)
+            }
+            (Some(_), None) => false,
+            (None, Some(endpoint)) => book.takes(now, &self.member, endpoint),
+            (None, None) => true,
+        };
         let free = self.open.len() < streams && !self.open.contains_key(id);
         let fresh = !self.past.iter().any(|past| past == id); // Its late answer would be taken for ours.
-        free && fresh && way && self.trial.is_none() && !self.retired && !self.mute(now)
+        free && fresh && way && !self.retired && !self.mute(now)
     }
 
     /// Whether one more had better go elsewhere.
@@ -322,11 +330,14 @@
             (count, racing) = (count + 1, racing + usize::from(link.up.is_none()));
         }
         let will_do = |link: &Link| old_will_do || link.up.is_none();
-        let fits = own().filter(|(_, link)| will_do(link) && link.takes(now, &self.book, &id, self.streams));
-        // One that is up goes before one that is dialled, and the less it carries the better; but a crowded
+        // What must not be repeated is no trial.
+        let suits = |link: &Link| will_do(link) && !(frame.alone && link.trial.is_some());
+        let fits = own().filter(|(_, link)| suits(link) && link.takes(now, &self.book, &id, self.streams));
+        // One on trial goes first. One that is up goes before one that is dialled, and the less it carries the better; but a crowded
         // one comes last, or each further attempt would have one more dialled.
         let full = |link: &Link| link.full(frame.alone);
-        let best = fits.min_by_key(|(_, l)| (full(l), !full(l) && l.up.is_none(), l.open.len()));
+        let best =
+            fits.min_by_key(|(_, l)| (l.trial.is_none(), full(l), !full(l) && l.up.is_none(), l.open.len()));
         let best = best.map(|(key, link)| (*key, full(link)));
         // Further connections leave room for first ones to machines that come; at the bound one that rests
         // makes it. Nor are more dialled at once than there are dials to be had.
@@ -577,7 +588,7 @@
             begins |= matches!(frame, Ok(Some(_)));
             match frame {
                 Ok(Some(frame)) => match link.frame(&frame, self.book.rules().is_some_and(|r| r.names)) {
-                    Ok(Heard::Greeted) => answered = true,
+                    Ok(Heard::Greeted) => {}
                     Ok(one) => {
                         answered |= matches!(one, Heard::Answer(..) | Heard::Probe(..));
                         if let Heard::Answer(attempt, _) = &one {
@@ -593,7 +604,7 @@
         };
         if let Some(endpoint) = link.endpoint.as_ref().filter(|_| answered) {
             self.book.answered(now, &link.member, endpoint);
-            link.blamed = false;
+            (link.blamed, link.trial) = (false, None);
         }
         (link.idle, link.heard) = (now, now);
         link.begun = if begins { now } else { link.begun };
@@ -797,7 +808,7 @@
         self.over(id.to_owned());
         Ok(match what {
             What::Greeting => {
-                (self.greeting, self.trial) = (None, None);
+                self.greeting = None;
                 Heard::Greeted
             }
             What::Probe => Heard::Probe(self.member.clone(), outcome, report),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -70,6 +70,11 @@
     run(Cli::parse())
 }
 
+/// Serves by what the environment says alone; for a program that hosts the daemon.
+pub fn serve() -> ExitCode {
+    run(Cli::parse_from(["frostturn"]))
+}
+
 fn run(cli: Cli) -> ExitCode {
     crate::log::start(match cli.log {
         LogFormat::Text => Format::Text,
