Model the book and the race by quickcheck; refuse quotes in the operator's file

Need: what the race and the book promise has to be checked against plain models, and no bytes may upset the reader.

Links over a better way are preferred, so that connections over worse ones fall idle once it is back.

--- a/src/addresses/book.rs
+++ b/src/addresses/book.rs
@@ -268,6 +268,12 @@
         path.is_some_and(|path| self.allowed(now, member, path))
     }
 
+    /// An endpoint's place in the stated order.
+    pub fn rank(&self, member: &CacheId, endpoint: &Endpoint) -> usize {
+        let paths = self.machines.get(member).map_or(&[][..], |machine| &machine.paths);
+        paths.iter().position(|path| path.endpoint == *endpoint).unwrap_or(paths.len())
+    }
+
     /// Whether an endpoint is still one of a machine's.
     pub fn lists(&self, member: &CacheId, endpoint: &Endpoint) -> bool {
         let machine = self.machines.get(member);
@@ -370,7 +376,8 @@
         let due: Vec<(CacheId, Endpoint)> =
             resting().filter(|(.., at)| *at <= now).map(|(m, e, _)| (m.clone(), e.clone())).collect();
         // What can't be tried now, since another path of its machine is, is looked at again shortly.
-        self.trials_at = resting().map(|(.., at)| at.max(now + LOOK_AGAIN_MS)).fold(f64::INFINITY, f64::min);
+        let next = |at: Millis| if at > now { at } else { now + LOOK_AGAIN_MS };
+        self.trials_at = resting().map(|(.., at)| next(at)).fold(f64::INFINITY, f64::min);
         let mut trials = Vec::new();
         for (member, endpoint) in due {
             let busy = self.machines.get(&member).is_some_and(|m| m.paths.iter().any(|path| path.tried));
--- a/src/back.rs
+++ b/src/back.rs
@@ -333,11 +333,14 @@
         // What must not be repeated is no trial.
         let suits = |link: &Link| will_do(link) && !(frame.alone && link.trial.is_some());
         let fits = own().filter(|(_, link)| suits(link) && link.takes(now, &self.book, &id, self.streams));
-        // One on trial goes first. One that is up goes before one that is dialled, and the less it carries the better; but a crowded
-        // one comes last, or each further attempt would have one more dialled.
+        // One on trial goes first. One that is up goes before one that is dialled, a better way before a worse
+        // one, so that those fall idle once it is back, and the less it carries the better; but a crowded one
+        // comes last, or each further attempt would have one more dialled.
         let full = |link: &Link| link.full(frame.alone);
-        let best =
-            fits.min_by_key(|(_, l)| (l.trial.is_none(), full(l), !full(l) && l.up.is_none(), l.open.len()));
+        let rank = |l: &Link| l.endpoint.as_ref().map_or(0, |endpoint| self.book.rank(member, endpoint));
+        let best = fits.min_by_key(|(_, l)| {
+            (l.trial.is_none(), full(l), !full(l) && l.up.is_none(), rank(l), l.open.len())
+        });
         let best = best.map(|(key, link)| (*key, full(link)));
         // Further connections leave room for first ones to machines that come; at the bound one that rests
         // makes it. Nor are more dialled at once than there are dials to be had.
--- a/src/operator/form.rs
+++ b/src/operator/form.rs
@@ -83,6 +83,7 @@
         let line = 1 + bytes[..e.valid_up_to()].iter().filter(|byte| **byte == b'\n').count();
         Fault::new((line, 1), "not UTF-8")
     })?;
+    scan(text)?;
     let mut parser = lexpr::Parser::from_str(text);
     let (mut nodes, mut left) = (Vec::new(), MAX_FORMS);
     loop {
@@ -99,6 +100,39 @@
     }
 }
 
+/// Refuses what has no use in a settings file and which the parser would follow without a bound: quotes nest by
+/// recursion there.
+fn scan(text: &str) -> Result<(), Fault> {
+    let (mut at, mut depth, mut quoted, mut escaped, mut comment) = ((1, 0), 0usize, false, false, false);
+    for byte in text.bytes() {
+        at.1 += 1;
+        if byte == b'\n' {
+            (at, comment) = ((at.0 + 1, 0), false);
+        }
+        if comment {
+            continue;
+        }
+        if quoted {
+            (quoted, escaped) = (escaped || byte != b'"', !escaped && byte == b'\\');
+            continue;
+        }
+        match byte {
+            b'"' => quoted = true,
+            b';' => comment = true,
+            b'(' | b'[' => depth += 1,
+            b')' | b']' => depth = depth.saturating_sub(1),
+            b'\'' | b'`' | b',' | b'#' | b'|' => {
+                return Err(Fault::new(at, format!("{:?} has no use here", char::from(byte))));
+            }
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            return Err(Fault::new(at, format!("lists more than {MAX_DEPTH} deep")));
+        }
+    }
+    Ok(())
+}
+
 fn node(datum: Ref<'_>, depth: usize, left: &mut usize) -> Result<Node, Fault> {
     let start = datum.span().start();
     let at = (start.line(), start.column() + 1);
--- /dev/null
+++ b/tests/addresses.rs
@@ -0,0 +1,372 @@
+//! The address book and the race against plain models, by random steps. Seeded: each run takes the same.
+
+use frostturn::addresses::{Book, DialKey, Endpoint, Failure, Listing, Race, Rules, Step, MAX_DIALS};
+use frostturn::api::{CacheId, Millis, Phase};
+use frostturn::back::{Dialling, Links};
+use frostturn::reducer::{Ask, Call, Progress};
+use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+
+fn check(property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(120, 11)).tests(300).quickcheck(property);
+}
+
+fn v6(port: u16) -> Endpoint {
+    SocketAddr::from(([0, 0, 0, 0, 0, 0, 0, 1], port)).into()
+}
+
+fn v4(port: u16) -> Endpoint {
+    SocketAddr::from(([127, 0, 0, 1], port)).into()
+}
+
+fn unix(name: &str) -> Endpoint {
+    Endpoint::Unix(Path::new(name).into())
+}
+
+fn serving(port: u16) -> Listing {
+    let address = Some(SocketAddr::from(([127, 0, 0, 1], port)));
+    Listing { phase: Phase::Serving, address, cold_until: None }
+}
+
+/// Machines a and b with three ways each.
+fn rules() -> Rules {
+    let mut rules = Rules::default();
+    rules.machines.insert("a".into(), vec![v6(1), unix("/a")]);
+    rules.machines.insert("b".into(), vec![unix("/b"), v6(2)]);
+    rules
+}
+
+fn book() -> (Book, CacheId) {
+    let mut book = Book::new(Some(rules()), 5);
+    book.list(&"a".into(), serving(1));
+    book.list(&"b".into(), serving(2));
+    (book, "a".into())
+}
+
+#[test]
+fn ways_are_tried_unix_first_then_ipv6_and_one_that_failed_after_those_that_work() {
+    let (mut book, a) = book();
+    assert_eq!(book.candidates(0.0, &a), [unix("/a"), v6(1), v4(1)]);
+    book.failed(0.0, &a, &unix("/a"), Failure::Refused);
+    assert_eq!(book.candidates(0.0, &a), [v6(1), v4(1)]);
+    // With none that works, the one whose pause ends first goes first: the only way back is found.
+    book.failed(1000.0, &a, &v6(1), Failure::Mute);
+    book.failed(500.0, &a, &v4(1), Failure::Refused);
+    assert_eq!(book.candidates(1000.0, &a), [unix("/a"), v4(1), v6(1)]);
+    book.answered(1001.0, &a, &v4(1));
+    assert_eq!(book.candidates(1001.0, &a), [v4(1)]);
+    let mut only = Book::new(None, 5);
+    only.list(&a, serving(1));
+    only.failed(0.0, &a, &v4(1), Failure::Refused);
+    assert_eq!((only.candidates(0.0, &a), only.next_due()), (vec![v4(1)], None), "off: as it always was");
+}
+
+#[test]
+fn an_address_of_two_belongs_to_the_newer_and_to_nobody_while_one_drains() {
+    let (mut book, a) = book();
+    let (old, new) = (CacheId::from("x"), CacheId::from("y"));
+    book.list(&old, serving(9));
+    assert_eq!(book.owner(&v4(9)), Some(&old));
+    book.list(&new, serving(9));
+    assert_eq!(book.owner(&v4(9)), Some(&new), "the newer claim");
+    assert!(book.candidates(0.0, &old).is_empty() && !book.takes(0.0, &old, &v4(9)));
+    let leaves = |phase| Listing { phase, ..serving(9) };
+    book.list(&old, leaves(Phase::Draining));
+    assert_eq!((book.owner(&v4(9)), book.candidates(0.0, &new)), (None, vec![]), "who answers isn't known");
+    book.list(&old, Listing { phase: Phase::Deleted, address: None, cold_until: None });
+    assert_eq!(book.owner(&v4(9)), Some(&new), "the draining one has left: settled");
+    // The older one comes back there: its claim is the newer one now.
+    book.list(&old, serving(9));
+    assert_eq!(book.owner(&v4(9)), Some(&old));
+    book.forget(&old);
+    assert_eq!((book.owner(&v4(9)), book.owner(&v4(1))), (Some(&new), Some(&a)));
+}
+
+#[test]
+fn a_reload_takes_ways_away_and_keeps_what_is_known_of_the_others() {
+    let (mut book, a) = book();
+    book.failed(0.0, &a, &v6(1), Failure::Refused);
+    let mut fewer = rules();
+    fewer.machines.insert("a".into(), vec![v6(1)]);
+    book.set_rules(Some(fewer));
+    assert!(!book.lists(&a, &unix("/a")));
+    assert_eq!(book.candidates(1.0, &a), [v4(1)], "the failure is remembered");
+    book.set_rules(Some(rules()));
+    assert_eq!(book.candidates(1.0, &a), [unix("/a"), v4(1)]);
+}
+
+#[test]
+fn a_cold_machine_gets_one_dial_and_no_trials() {
+    let (mut book, a) = book();
+    book.list(&a, Listing { cold_until: Some(5000.0), ..serving(1) });
+    book.failed(0.0, &a, &v6(1), Failure::Refused);
+    assert_eq!((book.most_dials(10.0, &a), book.trials(4000.0)), (1, vec![]));
+    assert_eq!(book.most_dials(5000.0, &a), MAX_DIALS);
+    assert_eq!(book.trials(5000.0), [(a.clone(), v6(1))]);
+    assert_eq!(book.trials(6000.0), [], "one at a time");
+}
+
+#[test]
+fn somebody_elses_answer_bars_a_way_even_if_it_is_the_last() {
+    let (mut book, a) = book();
+    book.set_rules(Some(Rules { machines: BTreeMap::new(), ..rules() }));
+    let until = book.failed(0.0, &a, &v4(1), Failure::WrongName).expect("new");
+    assert!(book.candidates(until - 1.0, &a).is_empty());
+    assert_eq!(book.candidates(until, &a), [v4(1)]);
+}
+
+#[test]
+fn pauses_grow_are_bounded_and_end() {
+    fn property(seed: u64, gaps: Vec<u16>) -> bool {
+        let (mut book, a) = (Book::new(Some(rules()), seed), CacheId::from("a"));
+        book.list(&a, serving(1));
+        let (first, most) = book.rules().expect("given").pause;
+        let (mut now, mut failures, mut until) = (0.0, 0, 0.0);
+        for gap in gaps {
+            now += f64::from(gap);
+            match book.failed(now, &a, &v6(1), Failure::Refused) {
+                None => assert!(now < until, "connections that fall together count once"),
+                Some(at) => {
+                    assert!(now >= until);
+                    let nominal = (first * 2.0_f64.powi(failures)).min(most);
+                    assert!((at - now) >= nominal * 0.75 && (at - now) <= nominal * 1.25);
+                    (failures, until) = (failures + 1, at);
+                }
+            }
+            // It is tried again once, as soon as its pause is over, and never before.
+            if until.is_finite() && failures > 0 {
+                assert!(book.trials(until - 0.001).is_empty());
+                assert_eq!(book.trials(until), [(a.clone(), v6(1))]);
+                book.untried(&a, &v6(1));
+                now = until;
+            }
+        }
+        true
+    }
+    check(property as fn(u64, Vec<u16>) -> bool);
+}
+
+/// Steps of one race.
+#[derive(Clone, Debug)]
+enum Turn {
+    Wait(u8),
+    Fail(usize),
+    Up(usize),
+    Restrict(u8),
+}
+
+impl Arbitrary for Turn {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 10 {
+            0..=4 => Self::Wait(u8::arbitrary(g)),
+            5..=7 => Self::Fail(usize::arbitrary(g)),
+            8 => Self::Up(usize::arbitrary(g)),
+            _ => Self::Restrict(u8::arbitrary(g)),
+        }
+    }
+}
+
+#[test]
+fn a_race_keeps_its_bounds_ends_and_has_at_most_one_winner() {
+    fn property(ways: u8, free: u8, delay: u8, turns: Vec<Turn>) -> bool {
+        let all: Vec<Endpoint> = (0..u16::from(ways % 6)).map(v4).collect();
+        let (most, delay) = (usize::from(free % 3), f64::from(delay) + 1.0);
+        let mut race = Race::new(0.0, all.clone(), delay, 400.0);
+        let (mut now, mut next) = (0.0, 0);
+        // The model: dials that are open, with their start.
+        let mut open: BTreeMap<DialKey, Millis> = BTreeMap::new();
+        let mut started = 0;
+        for turn in turns {
+            let free = most.saturating_sub(open.len());
+            let was_alone = open.is_empty();
+            for step in race.poll(now, free, &mut next) {
+                match step {
+                    Step::Start(key, endpoint) => {
+                        assert!(all.contains(&endpoint) && open.insert(key, now).is_none());
+                        started += 1;
+                    }
+                    Step::Drop(key, _) => {
+                        let since = open.remove(&key).expect("it was open");
+                        assert!(now - since >= delay || !was_alone, "only one that has had its time");
+                    }
+                }
+            }
+            assert!(open.len() <= most, "the bound of dials");
+            assert_eq!(
+                race.open().iter().map(|d| d.key).collect::<BTreeSet<_>>(),
+                open.keys().copied().collect()
+            );
+            let pick = |which: usize| open.keys().nth(which % open.len().max(1)).copied();
+            match turn {
+                Turn::Wait(ms) => now += f64::from(ms) / 4.0,
+                Turn::Fail(which) => {
+                    let Some(key) = pick(which) else { continue };
+                    assert!(race.failed(now, key).is_some() && race.failed(now, key).is_none());
+                    open.remove(&key);
+                }
+                Turn::Up(which) => {
+                    let Some(key) = pick(which) else { continue };
+                    race = match race.won(now, DialKey::MAX) {
+                        Ok(_) => panic!("it isn't of this race"),
+                        Err(race) => race,
+                    };
+                    let won = race.won(now, key).expect("it is open");
+                    let losers: BTreeSet<DialKey> = won.losers.iter().map(|(key, ..)| *key).collect();
+                    open.remove(&key);
+                    // All others are closed: nothing was ever written on them, as frames wait for the winner.
+                    assert_eq!(losers, open.keys().copied().collect());
+                    return true;
+                }
+                Turn::Restrict(which) => {
+                    let kept: Vec<Endpoint> = all
+                        .iter()
+                        .enumerate()
+                        .filter(|(at, _)| which & (1 << at) != 0)
+                        .map(|(_, e)| e.clone())
+                        .collect();
+                    for key in race.restrict(&kept) {
+                        assert!(open.remove(&key).is_some());
+                    }
+                    assert!(race.open().iter().all(|dial| kept.contains(&dial.endpoint)));
+                }
+            }
+            assert!(race.due() <= 400.0);
+        }
+        assert!(started <= 400 && race.over(400.0), "the one whole bound");
+        race.poll(400.0, 9, &mut next).is_empty()
+    }
+    check(property as fn(u8, u8, u8, Vec<Turn>) -> bool);
+}
+
+#[test]
+fn the_next_way_is_dialled_at_once_on_a_refusal_and_after_the_delay_otherwise() {
+    let mut next = 0;
+    let mut race = Race::new(0.0, vec![unix("/a"), v6(1), v4(1)], 80.0, 400.0);
+    assert_eq!(race.poll(0.0, 2, &mut next), [Step::Start(1, unix("/a"))]);
+    assert_eq!((race.poll(79.0, 1, &mut next), race.due()), (vec![], 80.0));
+    assert_eq!(race.failed(5.0, 1), Some(unix("/a")));
+    assert_eq!(race.poll(5.0, 2, &mut next), [Step::Start(2, v6(1))]);
+    assert_eq!(race.poll(85.0, 1, &mut next), [Step::Start(3, v4(1))]);
+    let won = race.won(86.0, 3).expect("it is open");
+    assert_eq!((won.endpoint, won.losers), (v4(1), vec![(2, v6(1), true)]), "the earlier one was overtaken");
+}
+
+fn call(id: &str, alone: bool) -> Call {
+    let ask = Ask { id: id.into(), class: "swap".into(), ..Ask::default() };
+    let fetch = frostturn::api::Fetch {
+        id: id.into(),
+        cache: "a".into(),
+        join: false,
+        renew: false,
+        held_only: false,
+        timeout_ms: 900.0,
+        source: "a".into(),
+        max_age_ms: None,
+        keep: frostturn::api::Keep::No,
+    };
+    Call { ask: ask.into(), fetch, alone }
+}
+
+fn links() -> (Links, CacheId) {
+    let mut links = Links::with_rules(400.0, 30_000.0, 32, 40, Some(rules()), 3);
+    links.list(&"a".into(), serving(1));
+    (links, "a".into())
+}
+
+/// Dials that are to be started now.
+fn started(links: &mut Links, now: Millis) -> Vec<(u64, DialKey, Endpoint)> {
+    let starts = links.poll(now).into_iter();
+    starts
+        .filter_map(|one| match one {
+            Dialling::Start(key, dial, endpoint) => Some((key, dial, endpoint)),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_swap_that_was_written_never_moves_and_one_that_was_not_does() {
+    let (mut links, a) = links();
+    let (first, _) = links.send(0.0, 1, &a, &call("one", true)).expect("room");
+    let dials = started(&mut links, 0.0);
+    assert_eq!(dials.len(), 1);
+    links.up(1.0, first, dials[0].1).expect("it is waited for");
+    let bytes = links.output(first).map_or(0, <[u8]>::len);
+    links.wrote(1.0, first, bytes);
+    // It falls mute over the Unix socket. What was written stays; what comes later goes another way.
+    let (left, moved) = links.mute(600.0);
+    assert_eq!((left.len(), left[0].endpoint.clone(), moved.len()), (1, unix("/a"), 0));
+    let (second, new) = links.send(601.0, 2, &a, &call("two", true)).expect("room");
+    assert!(new && second != first);
+    assert_eq!(started(&mut links, 601.0)[0].2, v6(1));
+    let ended = links.down(700.0, first, Some(Failure::Broken));
+    assert_eq!((ended.lost, ended.moved.len()), (vec![(1, Progress::WrittenWhole)], 0), "it may have run");
+}
+
+#[test]
+fn a_drain_calls_dials_off_on_all_paths() {
+    let (mut links, a) = links();
+    let (key, _) = links.send(0.0, 1, &a, &call("one", false)).expect("room");
+    assert_eq!(started(&mut links, 0.0).len(), 1);
+    assert_eq!(started(&mut links, 90.0).len(), 1, "two are on their way");
+    links.list(&a, Listing { phase: Phase::Draining, ..serving(1) });
+    links.retire(&a);
+    links.stop(91.0, 1);
+    let closed = links.poll(91.0).into_iter().filter(|one| matches!(one, Dialling::Close(_))).count();
+    assert_eq!((closed, links.dials(key).len()), (2, 0));
+    assert_eq!(links.expired(91.0), [(key, "not wanted any more")]);
+    assert!(links.send(92.0, 2, &a, &call("two", false)).is_err(), "there is no way to it");
+}
+
+#[test]
+fn a_path_that_came_back_carries_one_request_until_that_is_answered() {
+    let (mut links, a) = links();
+    let (key, _) = links.send(0.0, 1, &a, &call("one", false)).expect("room");
+    let (_, dial, _) = started(&mut links, 0.0).remove(0);
+    let left = links.dial_failed(0.0, key, dial, Some(Failure::Refused)).expect("it is left alone");
+    let dials = started(&mut links, 0.0);
+    links.up(1.0, key, dials[0].1).expect("it is waited for");
+    // The trial begins when the pause is over, with no request on it, and greets.
+    let at = left.pause_ms;
+    assert!(started(&mut links, at - 1.0).is_empty());
+    let (trial, dial, endpoint) = started(&mut links, at).remove(0);
+    assert!(endpoint == unix("/a") && trial != key);
+    links.up(at, trial, dial).expect("it is waited for");
+    let greeting = links.output(trial).expect("a greeting").to_vec();
+    assert!(greeting.starts_with(b"*2\r\n$4\r\nHELO\r\n"));
+    links.wrote(at, trial, greeting.len());
+    assert_ne!(links.send(at, 2, &a, &call("two", false)).map(|(key, _)| key), Ok(trial), "not yet");
+    let tag = String::from_utf8_lossy(&greeting).lines().nth(4).unwrap_or_default().to_owned();
+    let fit = frostturn::resp::frame(&[tag.as_bytes(), b"FIT", b"-"]);
+    assert_eq!(links.receive(at, trial, &fit), (vec![], None));
+    assert_ne!(links.send(at, 3, &a, &call("swap", true)).map(|(key, _)| key), Ok(trial), "no swap");
+    assert_eq!(links.send(at, 4, &a, &call("four", false)), Ok((trial, false)));
+    assert_ne!(links.send(at, 5, &a, &call("five", false)).map(|(key, _)| key), Ok(trial), "one by one");
+    let bytes = links.output(trial).map_or(0, <[u8]>::len);
+    links.wrote(at, trial, bytes);
+    let done = frostturn::resp::frame(&[b"four", b"LACK", b"-", b""]);
+    assert_eq!(links.receive(at + 1.0, trial, &done).0.len(), 1);
+    assert_eq!(links.book().counts(), (1, 0), "it works again");
+}
+
+#[test]
+fn a_connection_on_which_another_machine_answers_carries_nothing() {
+    let named = Rules { names: true, ..rules() };
+    let mut links = Links::with_rules(400.0, 30_000.0, 32, 40, Some(named), 3);
+    let a = CacheId::from("a");
+    links.list(&a, serving(1));
+    let (key, _) = links.send(0.0, 1, &a, &call("one", true)).expect("room");
+    let (_, dial, _) = started(&mut links, 0.0).remove(0);
+    links.up(0.0, key, dial).expect("it is waited for");
+    let greeting = links.output(key).expect("a greeting").to_vec();
+    links.wrote(0.0, key, greeting.len());
+    assert_eq!(links.output(key), None, "nothing before it is known who answers");
+    let tag = String::from_utf8_lossy(&greeting).lines().nth(4).unwrap_or_default().to_owned();
+    let fit = frostturn::resp::frame(&[tag.as_bytes(), b"FIT", b"name=b"]);
+    assert_eq!(links.receive(1.0, key, &fit).1, Some(frostturn::back::WRONG_NAME));
+    let ended = links.down(1.0, key, Some(Failure::WrongName));
+    assert!(ended.lost.is_empty() && ended.moved.len() == 1, "it had not begun to leave");
+    assert_eq!(started(&mut links, 1.0)[0].2, v6(1));
+}
