--- a/crates/frostturn-lab/src/main.rs
+++ b/crates/frostturn-lab/src/main.rs
@@ -14,8 +14,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use scenarios::{Options, Scenario, ALL};
-use std::io::Write;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Runs the real daemon against stand-ins on loopback.
@@ -109,13 +108,3 @@
         }
     }
 }
-
-/// What first requests on connections paid, as CSV.
-fn write_firsts(out: &Path, seen: &world::Seen) -> std::io::Result<()> {
-    std::fs::create_dir_all(out)?;
-    let mut file = std::fs::File::create(out.join("firsts.csv"))?;
-    writeln!(file, "machine,way,at_ms,after_ms")?;
-    seen.firsts.iter().try_for_each(|first| {
-        writeln!(file, "{},{},{:.2},{:.3}", first.machine, first.way, first.at, first.after_ms)
-    })
-}
--- a/crates/frostturn-lab/src/scenarios/addresses.rs
+++ b/crates/frostturn-lab/src/scenarios/addresses.rs
@@ -12,6 +12,8 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeSet;
+use std::io::Write;
+use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
@@ -30,7 +32,9 @@
 /// A request that came so much later than usual has paid for something.
 const PAID_MS: Millis = 10.0;
 /// Who first meets a failure meets it so soon; later ones know of it.
-const FRESH_MS: Millis = 400.0;
+const FRESH_MS: Millis = 1500.0;
+/// A figure that rests on fewer than so many requests shows nothing.
+const LEAST_MET: f64 = 5.0;
 
 /// What happens.
 #[derive(Clone, Debug, PartialEq)]
@@ -87,6 +91,7 @@
             kinds.push((way, None)); // It flaps.
         }
         kinds.push((0, Some(WrongType)));
+        kinds.extend([(1, Some(BlackHole)); 4]);
         kinds.push((0, Some(BlackHole)));
         kinds.shuffle(&mut rng);
         let mut free = [QUIET_MS; BY_WAY];
@@ -226,7 +231,7 @@
     let load = load.join().map_err(|_| "the clients panicked".to_owned())?;
     let (mut report, seen, _) = site.finish("addresses", seed, daemon, &load);
     if let Some(out) = &options.out {
-        crate::write_firsts(out, &seen).map_err(|e| format!("{}: {e}", out.display()))?;
+        write(out, &plan, start, &seen).map_err(|e| format!("{}: {e}", out.display()))?;
     }
     if !options.calm {
         bounds(&mut report, &plan, start, &seen, &met);
@@ -234,13 +239,29 @@
     Ok(report)
 }
 
+/// What failed when, and what first requests on connections paid, as CSV.
+fn write(out: &Path, plan: &Plan, start: Millis, seen: &Seen) -> std::io::Result<()> {
+    std::fs::create_dir_all(out)?;
+    let mut file = std::fs::File::create(out.join("firsts.csv"))?;
+    writeln!(file, "machine,way,at_ms,after_ms")?;
+    for first in &seen.firsts {
+        let at = first.at - start;
+        writeln!(file, "{},{},{at:.2},{:.3}", first.machine, first.way, first.after_ms)?;
+    }
+    let mut file = std::fs::File::create(out.join("failures.csv"))?;
+    writeln!(file, "machine,way,from_ms,to_ms,failure")?;
+    plan.spells
+        .iter()
+        .try_for_each(|s| writeln!(file, "{},{},{:.0},{:.0},{:?}", s.machine, s.way, s.from, s.to, s.failure))
+}
+
 fn quantile(mut values: Vec<f64>, q: f64) -> f64 {
     values.sort_by(f64::total_cmp);
     let at = ((values.len() as f64 * q).ceil() as usize).clamp(1, values.len().max(1)) - 1;
     values.get(at).copied().unwrap_or(0.0)
 }
 
-fn bounds(report: &mut Report, plan: &Plan, start: Millis, seen: &Seen, met: &[(usize, Millis, i64)]) {
+fn bounds(report: &mut Report, plan: &Plan, start: Millis, seen: &Seen, hit: &[(usize, Millis, i64)]) {
     let usual = quantile(seen.usual.clone(), 0.5);
     // What firsts paid on a way while a better one of their machine failed so, from and until so long after.
     let paid = |fails: &dyn Fn(Failure) -> bool, after: Millis, before: Millis| {
@@ -262,35 +283,15 @@
         quantile(paid(&refused, 0.0, FRESH_MS), 0.99),
         10.0,
     ));
-    if std::env::var("LAB_DEBUG").is_ok() {
-        for f in seen.firsts.iter().filter(|f| f.after_ms - usual > 10.0) {
-            let at = f.at - start;
-            let active: Vec<_> = plan
-                .spells
-                .iter()
-                .filter(|s| s.machine == f.machine && s.from <= at && at <= s.to + 50.0)
-                .map(|s| (s.way, s.failure, at - s.from))
-                .collect();
-            eprintln!(
-                "first {} way {} at {at:.0} paid {:.1}: {active:?}",
-                f.machine,
-                f.way,
-                f.after_ms - usual
-            );
-        }
-        eprintln!(
-            "refused {:?}\nhole {:?}\nspells {:?}",
-            paid(&refused, 0.0, FRESH_MS).len(),
-            paid(&hole, 0.0, FRESH_MS),
-            plan.spells.iter().filter(|s| s.failure == BlackHole).collect::<Vec<_>>()
-        );
-    }
     let limit = DELAY_MS + BEYOND_MS;
     report.bounds.push(Bound::most(
         "failover_blackhole_p99_ms",
         quantile(paid(&hole, 0.0, FRESH_MS), 0.99),
         limit,
     ));
+    let met = [paid(&refused, 0.0, FRESH_MS).len(), paid(&hole, 0.0, FRESH_MS).len()];
+    report.bounds.push(Bound::least("failover_refused_met", met[0] as f64, LEAST_MET));
+    report.bounds.push(Bound::least("failover_blackhole_met", met[1] as f64, LEAST_MET));
     // Later than 2 s after a way died: requests that came on it and were lost, and those that paid for a dial.
     let dead = |machine: usize, at: Millis| {
         let of = plan.spells.iter().filter(|s| s.machine == machine);
@@ -309,7 +310,7 @@
     let within = |(machine, at, _): &&(usize, Millis, i64)| {
         seen.accepts.iter().filter(|(m, _, when)| m == machine && *when > *at && *when < at + 2000.0).count()
     };
-    let single = met.iter().filter(|(machine, ..)| *machine < BY_WAY);
+    let single = hit.iter().filter(|(machine, ..)| *machine < BY_WAY);
     let (dials, cost) = single
         .fold((0.0, 0.0), |(dials, cost), one| (dials + within(&one) as f64, cost + one.2.max(1) as f64));
     report.bounds.push(Bound::most("dials_per_failure", dials / f64::max(cost, 1.0), 3.0));
