--- a/src/back.rs
+++ b/src/back.rs
@@ -29,7 +29,7 @@
 /// Part of the machines' idle time after which a connection is closed from this side, before a request can
 /// cross the close from theirs.
 const IDLE_SHARE: f64 = 0.8;
-/// A machine says its name within that, or who answers there isn't known.
+/// A machine that has no other way says its name within that, or who answers there isn't known.
 const GREET_MS: Millis = 500.0;
 /// Ids given up or answered under which something may still be on its way.
 const MAX_PAST: usize = 64;
@@ -131,7 +131,7 @@
     race: Option<Race>,
     dialed: Millis,
     up: Option<Millis>,
-    /// It carries nothing until its machine has answered a greeting, for which it waits since then.
+    /// It carries nothing until its machine has answered a greeting, for which it waits until then.
     greeting: Option<Millis>,
     /// It is there to see whether this path works, until something is answered on it.
     trial: Option<Endpoint>,
@@ -200,7 +200,7 @@
         match self.up {
             None if self.retired && self.open.is_empty() => Some(self.idle),
             None => self.race.as_ref().map(Race::due),
-            Some(_) if self.greeting.is_some() => self.greeting.map(|since| since + GREET_MS),
+            Some(_) if self.greeting.is_some() => self.greeting,
             Some(_) if self.decoder.midway() => Some((self.heard + STALL_MS).min(self.begun + WHOLE_MS)),
             Some(_) if !self.open.is_empty() || !self.out.is_empty() => None,
             Some(_) if self.retired => Some(self.idle),
@@ -503,6 +503,10 @@
     /// waits for it any more, and it is to be closed itself.
     pub fn up(&mut self, now: Millis, key: LinkKey, dial: DialKey) -> Option<Vec<Dialling>> {
         let link = self.links.get_mut(&key)?;
+        // Where there is another way, this one has as long to greet as it would have had to come up.
+        let others = self.book.candidates(now, &link.member).len() > 1;
+        let delay = self.book.rules().filter(|_| others).map(|rules| rules.attempt_delay.1);
+        let wait = delay.unwrap_or(GREET_MS);
         let won = match link.race.take()?.won(now, dial) {
             Ok(won) => won,
             Err(race) => {
@@ -521,7 +525,7 @@
             let progress = Progress::NotConnected;
             link.open.insert(tag.clone(), Open { what: What::Greeting, progress, alone: false });
             link.out.push_front(Frame { bytes, opens: Some(tag), alone: false, moves: 0 });
-            link.greeting = Some(now);
+            link.greeting = Some(now + wait);
         }
         let mut todo = Vec::new();
         for (dial, endpoint, overtaken) in won.losers {
