Split the connections to machines by concern, and model them with several ways

Result: 300 random runs keep: one winner, nothing written before it, two dials a machine, every dial ends, each attempt is written once and what was written stays.

--- a/src/back.rs
+++ b/src/back/mod.rs
@@ -3,12 +3,18 @@
 //! Where a machine may be reached is [`crate::addresses`]'s: a connection begins as a race of dials and goes on
 //! over the one that was up first. Frames wait for that, so that no byte is ever on a loser.
 
-use crate::addresses::{Book, DialKey, Endpoint, Failure, Listing, Race, Rules, Step};
+mod dials;
+mod link;
+mod words;
+
+use crate::addresses::{Book, DialKey, Endpoint, Failure, Listing, Rules};
 use crate::api::*;
-use crate::config;
 use crate::reducer::{Answer, AttemptKey, Call, Progress};
-use crate::resp::{self, Decoder, Fault};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use crate::resp::{self, Fault};
+use dials::left;
+use link::{Frame, Link, Open, What};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use words::request;
 
 /// A connection with something out that has said nothing for so long gets nothing more: its machine may have
 /// vanished, which nobody tells. A new connection shows it.
@@ -103,112 +109,6 @@
     pub pause_ms: Millis,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum What {
-    Attempt(AttemptKey),
-    Probe,
-    /// Who is there, and whether it answers at all.
-    Greeting,
-}
-
-#[derive(Debug)]
-struct Frame {
-    bytes: Vec<u8>,
-    /// The id it opens; a STOP opens none.
-    opens: Option<String>,
-    /// It must not be repeated: what it shares a connection with could cost it its answer.
-    alone: bool,
-    /// How often it has moved on from a connection that closed.
-    moves: u8,
-}
-
-#[derive(Debug)]
-struct Link {
-    member: CacheId,
-    /// The way it goes, once it is up.
-    endpoint: Option<Endpoint>,
-    /// The dials for it, until it is up.
-    race: Option<Race>,
-    dialed: Millis,
-    up: Option<Millis>,
-    /// It carries nothing until its machine has answered a greeting, for which it waits until then.
-    greeting: Option<Millis>,
-    /// It is there to see whether this path works, until something is answered on it.
-    trial: Option<Endpoint>,
-    /// Its silence was told to the book.
-    blamed: bool,
-    retired: bool,
-    /// Since when something asked whole has met no sound at all.
-    unheard: Option<Millis>,
-    /// Since when it carries nothing.
-    idle: Millis,
-    out: VecDeque<Frame>,
-    written: usize,
-    open: HashMap<String, Open>,
-    /// Ids that are no longer open.
-    past: VecDeque<String>,
-    decoder: Decoder,
-    /// When something last came.
-    heard: Millis,
-    /// When the answer that is coming began to.
-    begun: Millis,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Open {
-    what: What,
-    progress: Progress,
-    alone: bool,
-}
-
-impl Link {
-    fn mute(&self, now: Millis) -> bool {
-        self.unheard.is_some_and(|since| now - since > MUTE_MS)
-    }
-
-    fn takes(&self, now: Millis, book: &Book, id: &str, streams: usize) -> bool {
-        let way = match (&self.trial, &self.endpoint) {
-            // One request at a time shows whether a path works again.
-            (Some(tried), Some(_)) => {
-                self.greeting.is_none() && self.open.is_empty() && book.own(now, &self.member, tried)
-            }
-            (Some(_), None) => false,
-            (None, Some(endpoint)) => book.takes(now, &self.member, endpoint),
-            (None, None) => true,
-        };
-        let free = self.open.len() < streams && !self.open.contains_key(id);
-        let fresh = !self.past.iter().any(|past| past == id); // Its late answer would be taken for ours.
-        free && fresh && way && !self.retired && !self.mute(now)
-    }
-
-    /// Whether one more had better go elsewhere.
-    fn full(&self, alone: bool) -> bool {
-        let most = if alone || self.open.values().any(|open| open.alone) { 1 } else { CROWDED };
-        self.open.len() >= most
-    }
-
-    /// An id is no longer open: what still comes under it is no answer to a later request.
-    fn over(&mut self, id: String) {
-        self.past.push_back(id);
-        if self.past.len() > MAX_PAST {
-            self.past.pop_front();
-        }
-    }
-
-    /// When it is to be looked at: a dial takes too long, an answer stops short, or it has been idle.
-    fn due(&self, idle_ms: Millis) -> Option<Millis> {
-        match self.up {
-            None if self.retired && self.open.is_empty() => Some(self.idle),
-            None => self.race.as_ref().map(Race::due),
-            Some(_) if self.greeting.is_some() => self.greeting,
-            Some(_) if self.decoder.midway() => Some((self.heard + STALL_MS).min(self.begun + WHOLE_MS)),
-            Some(_) if !self.open.is_empty() || !self.out.is_empty() => None,
-            Some(_) if self.retired => Some(self.idle),
-            Some(_) => Some(self.idle + IDLE_SHARE * idle_ms),
-        }
-    }
-}
-
 /// All connections to machines.
 #[derive(Debug)]
 pub struct Links {
@@ -367,114 +267,6 @@
         Ok((key, new))
     }
 
-    /// A new connection, to be dialled.
-    fn open(&mut self, now: Millis, member: &CacheId, ways: Vec<Endpoint>, trial: bool) -> LinkKey {
-        self.next += 1;
-        let trial = ways.first().filter(|_| trial).cloned();
-        let delay = self.book.delay(member, ways.first());
-        let link = Link {
-            member: member.clone(),
-            endpoint: None,
-            race: Some(Race::new(now, ways, delay, now + self.dial_ms)),
-            dialed: now,
-            up: None,
-            greeting: None,
-            trial,
-            blamed: false,
-            retired: false,
-            unheard: None,
-            idle: now,
-            out: VecDeque::new(),
-            written: 0,
-            open: HashMap::new(),
-            past: VecDeque::new(),
-            decoder: Decoder::default(),
-            heard: now,
-            begun: now,
-        };
-        self.links.insert(self.next, link);
-        self.racing.insert(self.next);
-        self.next
-    }
-
-    /// What is to be dialled and closed now. To be asked again after each dial that ends.
-    pub fn poll(&mut self, now: Millis) -> Vec<Dialling> {
-        let mut todo = Vec::new();
-        for (member, endpoint) in self.book.trials(now) {
-            if (self.links.len() as f64) < FURTHER * self.most as f64 {
-                self.open(now, &member, vec![endpoint], true);
-            } else {
-                self.book.untried(&member, &endpoint);
-            }
-        }
-        if self.racing.is_empty() {
-            return todo;
-        }
-        let most_in_all = self.book.rules().map_or(usize::MAX, |rules| rules.in_all);
-        let mut in_all = 0;
-        let mut by_member: HashMap<CacheId, usize> = HashMap::new();
-        for link in self.racing.iter().filter_map(|key| self.links.get(key)) {
-            let open = link.race.as_ref().map_or(0, |race| race.open().len());
-            in_all += open;
-            *by_member.entry(link.member.clone()).or_default() += open;
-        }
-        for key in &self.racing {
-            let Some(link) = self.links.get_mut(key) else { continue };
-            let Some(race) = &mut link.race else { continue };
-            let own = by_member.entry(link.member.clone()).or_default();
-            // The ways may have changed since: by the board, a claim, a new file, or another's failure.
-            let ways = match &link.trial {
-                Some(tried) if self.book.own(now, &link.member, tried) => vec![tried.clone()],
-                Some(_) => Vec::new(),
-                None => self.book.candidates(now, &link.member),
-            };
-            for dial in race.restrict(&ways) {
-                (in_all, *own) = (in_all - 1, *own - 1);
-                todo.push(Dialling::Close(dial));
-            }
-            if link.retired {
-                continue;
-            }
-            let most = self.book.most_dials(now, &link.member);
-            let free = most.saturating_sub(*own).min(most_in_all.saturating_sub(in_all));
-            for step in race.poll(now, free, &mut self.next_dial) {
-                match step {
-                    Step::Start(dial, endpoint) => {
-                        (in_all, *own) = (in_all + 1, *own + 1);
-                        todo.push(Dialling::Start(*key, dial, endpoint));
-                    }
-                    Step::Drop(dial, endpoint) => {
-                        (in_all, *own) = (in_all - 1, *own - 1);
-                        todo.push(Dialling::Close(dial));
-                        let leave = left(&mut self.book, now, &link.member, &endpoint, Failure::Overtaken);
-                        todo.extend(leave.map(Dialling::Left));
-                    }
-                }
-            }
-        }
-        todo
-    }
-
-    /// A dial has failed; `None`: for a reason of this side's, which says nothing about the path. To be
-    /// followed by [`Links::poll`].
-    pub fn dial_failed(
-        &mut self,
-        now: Millis,
-        key: LinkKey,
-        dial: DialKey,
-        why: Option<Failure>,
-    ) -> Option<Leave> {
-        let link = self.links.get_mut(&key)?;
-        let endpoint = link.race.as_mut()?.failed(now, dial)?;
-        match why {
-            Some(why) => left(&mut self.book, now, &link.member, &endpoint, why),
-            None => {
-                self.book.untried(&link.member, &endpoint);
-                None
-            }
-        }
-    }
-
     /// Has the longest idle connection closed; false if none is idle.
     fn rest_one(&mut self, now: Millis) -> bool {
         let idle = |link: &&mut Link| link.up.is_some() && link.open.is_empty() && link.out.is_empty();
@@ -499,45 +291,6 @@
         Some(key)
     }
 
-    /// A dial is up: its connection goes on over it. What is to be closed and left for that; `None`: nobody
-    /// waits for it any more, and it is to be closed itself.
-    pub fn up(&mut self, now: Millis, key: LinkKey, dial: DialKey) -> Option<Vec<Dialling>> {
-        let link = self.links.get_mut(&key)?;
-        // Where there is another way, this one has as long to greet as it would have had to come up.
-        let others = self.book.candidates(now, &link.member).len() > 1;
-        let delay = self.book.rules().filter(|_| others).map(|rules| rules.attempt_delay.1);
-        let wait = delay.unwrap_or(GREET_MS);
-        let won = match link.race.take()?.won(now, dial) {
-            Ok(won) => won,
-            Err(race) => {
-                link.race = Some(race);
-                return None;
-            }
-        };
-        self.racing.remove(&key);
-        (link.up, link.idle, link.heard) = (Some(now), now, now);
-        self.book.connected(&link.member, &won.endpoint, won.took_ms);
-        link.endpoint = Some(won.endpoint);
-        if link.trial.is_some() || self.book.rules().is_some_and(|rules| rules.names) {
-            self.next_probe += 1;
-            let tag = format!("hello{}", self.next_probe);
-            let bytes = resp::frame(&[b"HELO", tag.as_bytes()]);
-            let progress = Progress::NotConnected;
-            link.open.insert(tag.clone(), Open { what: What::Greeting, progress, alone: false });
-            link.out.push_front(Frame { bytes, opens: Some(tag), alone: false, moves: 0 });
-            link.greeting = Some(now + wait);
-        }
-        let mut todo = Vec::new();
-        for (dial, endpoint, overtaken) in won.losers {
-            todo.push(Dialling::Close(dial));
-            if overtaken {
-                let leave = left(&mut self.book, now, &link.member, &endpoint, Failure::Overtaken);
-                todo.extend(leave.map(Dialling::Left));
-            }
-        }
-        Some(todo)
-    }
-
     /// Whether a connection is up.
     pub fn is_up(&self, key: LinkKey) -> bool {
         self.links.get(&key).is_some_and(|link| link.up.is_some())
@@ -690,47 +443,6 @@
         race.map_or(Vec::new(), |race| race.open().iter().map(|d| (d.key, d.endpoint.clone())).collect())
     }
 
-    /// What has just fallen mute: its path is left, and what has not begun to leave moves to another one. Only
-    /// where machines have several ways; else the next request shows it.
-    pub fn mute(&mut self, now: Millis) -> (Vec<Leave>, BTreeSet<LinkKey>) {
-        let (mut leaves, mut moved) = (Vec::new(), BTreeSet::new());
-        if self.book.rules().is_none() {
-            return (leaves, moved);
-        }
-        let newly = |link: &Link| link.up.is_some() && !link.blamed && link.mute(now);
-        let keys: Vec<LinkKey> =
-            self.links.iter().filter(|(_, link)| newly(link)).map(|(key, _)| *key).collect();
-        for key in keys {
-            let Some(link) = self.links.get_mut(&key) else { continue };
-            link.blamed = true;
-            let (member, Some(endpoint)) = (link.member.clone(), link.endpoint.clone()) else { continue };
-            leaves.extend(left(&mut self.book, now, &member, &endpoint, Failure::Mute));
-            if self.book.takes(now, &member, &endpoint) {
-                continue; // There is no other way.
-            }
-            let waits = |open: &Open| matches!(open.what, What::Attempt(_) | What::Probe);
-            let unsent = link.open.iter().filter(|(_, o)| waits(o) && o.progress == Progress::NotConnected);
-            let unsent: Vec<(String, What)> = unsent.map(|(id, open)| (id.clone(), open.what)).collect();
-            for (id, what) in unsent {
-                let Some(link) = self.links.get_mut(&key) else { break };
-                let at = link.out.iter().position(|f| f.opens.as_ref() == Some(&id) && f.moves < MAX_MOVES);
-                let Some(mut frame) = at.and_then(|at| link.out.remove(at)) else { continue };
-                frame.moves += 1;
-                let back = Frame { bytes: frame.bytes.clone(), opens: frame.opens.clone(), ..frame };
-                let Some(open) = link.open.remove(&id) else { continue };
-                match self.queue(now, what, &member, frame, true) {
-                    Ok((to, _)) => drop(moved.insert(to)),
-                    Err(_) => {
-                        let Some(link) = self.links.get_mut(&key) else { break };
-                        link.open.insert(id, open);
-                        link.out.push_back(back);
-                    }
-                }
-            }
-        }
-        (leaves, moved)
-    }
-
     /// A machine leaves: its connections end once they carry nothing.
     pub fn retire(&mut self, member: &CacheId) {
         self.links.values_mut().filter(|link| link.member == *member).for_each(|link| link.retired = true);
@@ -773,143 +485,3 @@
         self.links.len()
     }
 }
-
-/// Has the book leave a path alone; what there is to say of it.
-fn left(book: &mut Book, now: Millis, member: &CacheId, endpoint: &Endpoint, why: Failure) -> Option<Leave> {
-    let until = book.failed(now, member, endpoint, why)?;
-    Some(Leave { member: member.clone(), endpoint: endpoint.clone(), why, pause_ms: until - now })
-}
-
-impl Link {
-    fn frame(&mut self, frame: &[Vec<u8>], named: bool) -> Result<Heard, Fault> {
-        let [id, word, rest @ ..] = frame else { return Err(Fault("an answer is cut short")) };
-        let id = std::str::from_utf8(id).map_err(|_| Fault("an id can't be read"))?;
-        // An answer to what has not left whole is none: its frame would go on to open the id a second time.
-        let asked = self.open.get(id).filter(|open| open.progress == Progress::WrittenWhole);
-        let Some(what) = asked.map(|open| open.what) else {
-            let late = self.past.iter().any(|past| past == id);
-            return Ok(if late { Heard::Late } else { Heard::Unknown });
-        };
-        let (fields, body) = match (what, rest) {
-            (What::Probe | What::Greeting, []) => (&b"-"[..], None),
-            (What::Probe | What::Greeting, [fields, ..]) => (&fields[..], None),
-            (What::Attempt(_), [fields, body]) => (&fields[..], Some(body)),
-            _ => return Err(Fault("an answer has other parts")),
-        };
-        let fields = Fields(std::str::from_utf8(fields).map_err(|_| Fault("fields can't be read"))?);
-        let report = fields.report();
-        let outcome = match (what, word.as_slice()) {
-            (What::Probe | What::Greeting, b"FIT") => Outcome::Ok,
-            (What::Probe | What::Greeting, b"UNFIT") => Outcome::Error,
-            (What::Attempt(_), b"DONE" | b"KEEP") => Outcome::Ok,
-            (What::Attempt(_), b"LACK") => Outcome::Miss,
-            (What::Attempt(_), b"WAIT") => Outcome::Full,
-            (What::Attempt(_), b"BROKE") => Outcome::Error,
-            (What::Attempt(_), b"PAST") => Outcome::Moot,
-            _ => return Err(Fault("an answer says nothing that is known")),
-        };
-        if what == What::Greeting && named && fields.get("name") != Some(self.member.as_str()) {
-            return Err(WRONG_NAME);
-        }
-        self.open.remove(id);
-        self.over(id.to_owned());
-        Ok(match what {
-            What::Greeting => {
-                self.greeting = None;
-                Heard::Greeted
-            }
-            What::Probe => Heard::Probe(self.member.clone(), outcome, report),
-            What::Attempt(attempt) => Heard::Answer(
-                attempt,
-                Answer {
-                    outcome,
-                    body: body.cloned().unwrap_or_default(),
-                    unchanged: word == b"KEEP",
-                    note: fields.get("tell").and_then(note),
-                    source_wait_ms: fields.number("took"),
-                    report,
-                },
-            ),
-        })
-    }
-}
-
-/// `name=value,name=value`, or `-` for none.
-#[derive(Clone, Copy)]
-struct Fields<'a>(&'a str);
-
-impl<'a> Fields<'a> {
-    fn get(self, name: &str) -> Option<&'a str> {
-        let mut pairs = self.0.split(',').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(given, _)| *given == name).map(|(_, value)| value)
-    }
-
-    fn number(self, name: &str) -> Option<f64> {
-        self.get(name)?.parse().ok().filter(|number: &f64| number.is_finite())
-    }
-
-    fn report(self) -> LoadReport {
-        let mut report = LoadReport::default();
-        for (name, value) in
-            self.get("meter").unwrap_or("").split(';').filter_map(|pair| pair.split_once(':'))
-        {
-            if let Some(slot) = config::report_value(&mut report, name) {
-                *slot = value.parse().ok().filter(|number: &f64| number.is_finite());
-            }
-        }
-        report
-    }
-}
-
-fn note(name: &str) -> Option<Note> {
-    Some(match name {
-        "cached" => Note::Hit,
-        "fetched" => Note::Filled,
-        "fetched_root" => Note::FilledFromOrigin,
-        "merged" => Note::Joined,
-        "past_fresh" => Note::Stale,
-        "up_refused" => Note::SourceRefused,
-        "up_lost" => Note::SourceLost,
-        "up_empty" => Note::SourceLacks,
-        "fills_full" => Note::NoFillPlace,
-        "root_failed" => Note::OriginFailed,
-        _ => return None,
-    })
-}
-
-/// The bytes of a request.
-fn request(call: &Call) -> Vec<u8> {
-    let (ask, fetch) = (&call.ask, &call.fetch);
-    let mut fields = format!("cls={}", ask.class);
-    let mut field = |name: &str, value: String| fields.extend([",", name, "=", &value]);
-    if let Some(object) = &ask.object {
-        field("item", object.clone());
-    }
-    if let Some(piece) = ask.piece {
-        field("chunk", piece.to_string());
-    }
-    if fetch.timeout_ms > 0.0 {
-        field("limit", (fetch.timeout_ms.ceil() as u64).to_string());
-    }
-    if fetch.source != fetch.cache {
-        field("fetch", fetch.source.to_string());
-    }
-    match fetch.keep {
-        Keep::No => {}
-        Keep::Low => field("retain", "1".to_owned()),
-        Keep::Middle => field("retain", "2".to_owned()),
-        Keep::High => field("retain", "3".to_owned()),
-    }
-    if let Some(age) = fetch.max_age_ms {
-        field("newer", (age.floor().max(1.0) as u64).to_string());
-    }
-    let how = [(fetch.join, "coalesce"), (fetch.held_only, "shallow"), (fetch.renew, "freshen")];
-    let how: Vec<&str> = how.iter().filter(|(wanted, _)| *wanted).map(|(_, word)| *word).collect();
-    if !how.is_empty() {
-        field("handle", how.join("+"));
-    }
-    if let Some(tag) = &ask.holds {
-        field("holds", tag.clone());
-    }
-    resp::frame(&[b"REQ", ask.id.as_bytes(), fields.as_bytes(), &ask.body])
-}
--- /dev/null
+++ b/src/back/words.rs
@@ -0,0 +1,86 @@
+//! The fields of frames, in words.
+
+use crate::api::{Keep, LoadReport, Note};
+use crate::config;
+use crate::reducer::Call;
+use crate::resp;
+
+/// `name=value,name=value`, or `-` for none.
+#[derive(Clone, Copy)]
+pub(super) struct Fields<'a>(pub(super) &'a str);
+
+impl<'a> Fields<'a> {
+    pub(super) fn get(self, name: &str) -> Option<&'a str> {
+        let mut pairs = self.0.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(given, _)| *given == name).map(|(_, value)| value)
+    }
+
+    pub(super) fn number(self, name: &str) -> Option<f64> {
+        self.get(name)?.parse().ok().filter(|number: &f64| number.is_finite())
+    }
+
+    pub(super) fn report(self) -> LoadReport {
+        let mut report = LoadReport::default();
+        for (name, value) in
+            self.get("meter").unwrap_or("").split(';').filter_map(|pair| pair.split_once(':'))
+        {
+            if let Some(slot) = config::report_value(&mut report, name) {
+                *slot = value.parse().ok().filter(|number: &f64| number.is_finite());
+            }
+        }
+        report
+    }
+}
+
+pub(super) fn note(name: &str) -> Option<Note> {
+    Some(match name {
+        "cached" => Note::Hit,
+        "fetched" => Note::Filled,
+        "fetched_root" => Note::FilledFromOrigin,
+        "merged" => Note::Joined,
+        "past_fresh" => Note::Stale,
+        "up_refused" => Note::SourceRefused,
+        "up_lost" => Note::SourceLost,
+        "up_empty" => Note::SourceLacks,
+        "fills_full" => Note::NoFillPlace,
+        "root_failed" => Note::OriginFailed,
+        _ => return None,
+    })
+}
+
+/// The bytes of a request.
+pub(super) fn request(call: &Call) -> Vec<u8> {
+    let (ask, fetch) = (&call.ask, &call.fetch);
+    let mut fields = format!("cls={}", ask.class);
+    let mut field = |name: &str, value: String| fields.extend([",", name, "=", &value]);
+    if let Some(object) = &ask.object {
+        field("item", object.clone());
+    }
+    if let Some(piece) = ask.piece {
+        field("chunk", piece.to_string());
+    }
+    if fetch.timeout_ms > 0.0 {
+        field("limit", (fetch.timeout_ms.ceil() as u64).to_string());
+    }
+    if fetch.source != fetch.cache {
+        field("fetch", fetch.source.to_string());
+    }
+    match fetch.keep {
+        Keep::No => {}
+        Keep::Low => field("retain", "1".to_owned()),
+        Keep::Middle => field("retain", "2".to_owned()),
+        Keep::High => field("retain", "3".to_owned()),
+    }
+    if let Some(age) = fetch.max_age_ms {
+        field("newer", (age.floor().max(1.0) as u64).to_string());
+    }
+    let how = [(fetch.join, "coalesce"), (fetch.held_only, "shallow"), (fetch.renew, "freshen")];
+    let how: Vec<&str> = how.iter().filter(|(wanted, _)| *wanted).map(|(_, word)| *word).collect();
+    if !how.is_empty() {
+        field("handle", how.join("+"));
+    }
+    if let Some(tag) = &ask.holds {
+        field("holds", tag.clone());
+    }
+    resp::frame(&[b"REQ", ask.id.as_bytes(), fields.as_bytes(), &ask.body])
+}
--- a/tests/addresses.rs
+++ b/tests/addresses.rs
@@ -370,3 +370,145 @@
     assert!(ended.lost.is_empty() && ended.moved.len() == 1, "it had not begun to leave");
     assert_eq!(started(&mut links, 1.0)[0].2, v6(1));
 }
+
+/// Steps on all connections to two machines.
+#[derive(Clone, Debug)]
+enum Move {
+    Send { to_b: bool, alone: bool },
+    Refused(usize),
+    Up(usize),
+    Write(usize),
+    Answer(usize),
+    Down(usize),
+    Drain(bool),
+    Wait(u8),
+}
+
+impl Arbitrary for Move {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let which = usize::arbitrary(g);
+        match u8::arbitrary(g) % 16 {
+            0..=3 => Self::Send { to_b: bool::arbitrary(g), alone: bool::arbitrary(g) },
+            4 => Self::Refused(which),
+            5..=7 => Self::Up(which),
+            8..=10 => Self::Write(which),
+            11 => Self::Answer(which),
+            12 => Self::Down(which),
+            13 => Self::Drain(bool::arbitrary(g)),
+            _ => Self::Wait(u8::arbitrary(g)),
+        }
+    }
+}
+
+#[test]
+fn no_byte_is_on_a_loser_every_dial_ends_and_what_was_written_stays() {
+    fn property(moves: Vec<Move>) -> bool {
+        let mut links = Links::with_rules(400.0, 30_000.0, 32, 40, Some(rules()), 3);
+        let names = [CacheId::from("a"), CacheId::from("b")];
+        for (port, name) in (1..).zip(&names) {
+            links.list(name, serving(port));
+        }
+        let (mut now, mut next) = (0.0, 0);
+        // The model: dials that are open, connections that are up, what was written of which attempt on which.
+        let mut dials: BTreeMap<DialKey, u64> = BTreeMap::new();
+        let (mut up, mut written) = (BTreeSet::new(), BTreeMap::<u64, u64>::new());
+        let mut moves = moves.into_iter();
+        loop {
+            let one = moves.next();
+            for todo in links.poll(now) {
+                match todo {
+                    Dialling::Start(key, dial, _) => assert!(dials.insert(dial, key).is_none()),
+                    Dialling::Close(dial) => assert!(dials.remove(&dial).is_some()),
+                    Dialling::Left(_) => {}
+                }
+            }
+            for name in &names {
+                let own = dials.values().filter(|key| links.member(**key) == Some(name)).count();
+                assert!(own <= MAX_DIALS, "{own} dials at once");
+            }
+            let nth = |which: usize| dials.iter().nth(which % dials.len().max(1)).map(|(d, k)| (*d, *k));
+            let live: Vec<u64> = up.iter().copied().collect();
+            let one_up = |which: usize| live.get(which % live.len().max(1)).copied();
+            let mut ended = None;
+            match one {
+                Some(Move::Send { to_b, alone }) => {
+                    next += 1;
+                    let sent =
+                        links.send(now, next, &names[usize::from(to_b)], &call(&format!("i{next}"), alone));
+                    if let Ok((key, _)) = sent {
+                        assert_eq!(
+                            links.output(key).is_some(),
+                            up.contains(&key) && links.output(key).is_some()
+                        );
+                    }
+                }
+                Some(Move::Refused(which)) => {
+                    if let Some((dial, key)) = nth(which) {
+                        dials.remove(&dial);
+                        links.dial_failed(now, key, dial, Some(Failure::Refused));
+                    }
+                }
+                Some(Move::Up(which)) => {
+                    let Some((dial, key)) = nth(which) else { continue };
+                    assert!(links.output(key).is_none(), "nothing leaves before there is a winner");
+                    dials.remove(&dial);
+                    for todo in links.up(now, key, dial).expect("it was open") {
+                        if let Dialling::Close(loser) = todo {
+                            assert_eq!(dials.remove(&loser), Some(key), "losers are closed");
+                        }
+                    }
+                    assert!(!dials.values().any(|of| *of == key) && up.insert(key), "one winner");
+                }
+                Some(Move::Write(which)) => {
+                    let Some(key) = one_up(which) else { continue };
+                    let Some(bytes) = links.output(key).map(<[u8]>::len) else { continue };
+                    if let Some((attempt, _)) = links.wrote(now, key, bytes) {
+                        assert_eq!(written.insert(attempt, key), None, "each is written once");
+                    }
+                }
+                Some(Move::Answer(which)) => {
+                    let at = which % written.len().max(1);
+                    let Some((attempt, key)) = written.iter().nth(at).map(|(a, k)| (*a, *k)) else {
+                        continue;
+                    };
+                    let id = format!("i{attempt}");
+                    let done = frostturn::resp::frame(&[id.as_bytes(), b"LACK", b"-", b""]);
+                    if links.carrier(attempt) == Some(key) {
+                        links.receive(now, key, &done);
+                    }
+                    written.remove(&attempt);
+                }
+                Some(Move::Down(which)) => ended = one_up(which).map(|key| (key, Some(Failure::Broken))),
+                Some(Move::Drain(drains)) => {
+                    let phase = if drains { Phase::Draining } else { Phase::Serving };
+                    links.list(&names[0], Listing { phase, ..serving(1) });
+                    if drains {
+                        links.retire(&names[0]);
+                    }
+                }
+                Some(Move::Wait(ms)) => now += f64::from(ms),
+                None => now += 60_000.0,
+            }
+            let over = links.expired(now).into_iter().map(|(key, _)| (key, None));
+            for (key, blame) in ended.into_iter().chain(over).collect::<Vec<_>>() {
+                let down = links.down(now, key, blame);
+                up.remove(&key);
+                for dial in down.dials {
+                    assert_eq!(dials.remove(&dial), Some(key));
+                }
+                for (attempt, progress) in down.lost {
+                    let wrote = written.remove(&attempt).is_some();
+                    assert_eq!(wrote, progress >= Progress::PartlyWritten);
+                }
+                assert!(written.values().all(|on| *on != key), "what was written moved by itself");
+            }
+            links.mute(now);
+            assert!(written.iter().all(|(attempt, key)| links.carrier(*attempt) == Some(*key)));
+            if one.is_none() {
+                // A minute on, every dial has ended.
+                return dials.is_empty();
+            }
+        }
+    }
+    check(property as fn(Vec<Move>) -> bool);
+}
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -58,8 +58,13 @@
 }
 
 fn start(test: &str, machine: &str) -> Served {
+    start_with(test, machine, &[])
+}
+
+fn start_with(test: &str, machine: &str, options: &[&str]) -> Served {
     let path = config(test, machine, "127.0.0.1:1");
     let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn"))
+        .args(options)
         .env("PROXY_CONFIG", path)
         .env_remove("PROXY_LISTEN")
         .stderr(Stdio::piped())
@@ -206,3 +211,83 @@
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(!output.status.success() && text.lines().count() == 1 && text.contains("cannot start"), "{text}");
 }
+
+/// A file of a test's own.
+fn file(name: &str, text: &str) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("written");
+    path.to_string_lossy().into_owned()
+}
+
+#[test]
+fn check_reports_every_fault_with_its_place_and_ends_with_code_1() {
+    let bad = file("bad.scm", "(frostturn\n  (adresses)\n  (addresses (dials none)))");
+    let good = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operator.example.scm");
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_frostturn")).args(args).output().expect("it runs");
+        let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
+        (output.status.code(), text(output.stdout), text(output.stderr))
+    };
+    let (code, out, err) = run(&["check", &bad, good]);
+    assert_eq!((code, out), (Some(1), format!("{good}: good\n")));
+    let lines: Vec<&str> = err.lines().collect();
+    assert!(lines.len() == 2 && lines[0].starts_with(&format!("{bad}:2:4: ")), "{err}");
+    assert!(lines[1].starts_with(&format!("{bad}:3:21: ")), "{err}");
+    assert_eq!(run(&["check", good]).0, Some(0));
+    assert_eq!(run(&["chek", good]).0, Some(2), "the command line itself");
+    assert!(run(&["completions", "bash"]).1.contains("_frostturn"));
+    assert!(run(&["--version"]).1.starts_with("frostturn "));
+}
+
+#[test]
+fn json_lines_are_objects_with_fields_and_carry_the_same_words() {
+    let served = start_with("json", &machine(|_| "DONE"), &["serve", "--log", "json"]);
+    let mut stream = TcpStream::connect(&served.address).expect("it listens");
+    stream.write_all(b"GET / HTTP/1.1\r\n\r\n").expect("written");
+    let _ = stream.read(&mut [0; 9]);
+    let log = served.end();
+    for line in log.lines() {
+        let mut bytes = line.as_bytes().to_vec();
+        let value = simd_json::to_owned_value(&mut bytes).expect("an object a line");
+        assert!(simd_json::prelude::ValueObjectAccess::get(&value, "message").is_some(), "{line}");
+    }
+    assert!(log.contains("\"message\":\"a client's record can't be read: Version(71)\""), "{log}");
+}
+
+#[test]
+fn a_good_operators_file_is_taken_over_at_once_and_a_bad_one_changes_nothing() {
+    // The box moves to a Unix socket; the board's address is dead.
+    let dead = {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.local_addr().expect("bound").to_string()
+    };
+    let socket = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("box.sock");
+    let _ = std::fs::remove_file(&socket);
+    let listener = std::os::unix::net::UnixListener::bind(&socket).expect("a path");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let fd: std::os::fd::OwnedFd = stream.into();
+            thread::spawn(move || answer_all(TcpStream::from(fd), |_| "DONE"));
+        }
+    });
+    let operator = file("operator.scm", "(frostturn)");
+    let mut served = start_with("operator", &dead, &["--operator", &operator]);
+    let mut stream = TcpStream::connect(&served.address).expect("it listens");
+    ask(&mut stream, 1, "/ops/page", "00000000000000a1");
+    assert!(!answer(&mut stream, 1).starts_with("Status: 200 "), "nobody is there");
+    file("operator.scm", "(frostturn (addresses (machine s-1)))");
+    served.signal("-HUP");
+    served.line("the new config is not taken, the old one stays");
+    let text = format!("(frostturn (addresses (machine \"s-1\" (unix \"{}\"))))", socket.display());
+    file("operator.scm", &text);
+    served.signal("-HUP");
+    served.line("config read anew");
+    // The machine may be left alone for a second after the first request's failure.
+    let served_at = (2..60).find(|at| {
+        thread::sleep(std::time::Duration::from_millis(100));
+        ask(&mut stream, *at, "/ops/page", &format!("{:016x}", 0xb0 + u64::from(*at)));
+        answer(&mut stream, *at).starts_with("Status: 200 ")
+    });
+    assert!(served_at.is_some(), "it is reached over the new way");
+    assert!(served.end().contains(" reloads=1 "));
+}
