--- a/src/addresses/book.rs
+++ b/src/addresses/book.rs
@@ -252,11 +252,11 @@
 
     /// Whether a connection that is up may be given something new.
     pub fn takes(&self, now: Millis, member: &CacheId, endpoint: &Endpoint) -> bool {
-        let Some(machine) = self.machines.get(member) else { return false };
-        let Some(path) = machine.paths.iter().find(|path| path.endpoint == *endpoint) else { return false };
         if self.rules.is_none() {
-            return true;
+            return true; // One over an address that is gone has been retired.
         }
+        let Some(machine) = self.machines.get(member) else { return false };
+        let Some(path) = machine.paths.iter().find(|path| path.endpoint == *endpoint) else { return false };
         let other = || machine.paths.iter().any(|p| p.good() && self.allowed(now, member, p));
         self.allowed(now, member, path) && (path.good() || !other())
     }
@@ -270,6 +270,9 @@
 
     /// An endpoint's place in the stated order.
     pub fn rank(&self, member: &CacheId, endpoint: &Endpoint) -> usize {
+        if self.rules.is_none() {
+            return 0;
+        }
         let paths = self.machines.get(member).map_or(&[][..], |machine| &machine.paths);
         paths.iter().position(|path| path.endpoint == *endpoint).unwrap_or(paths.len())
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -67,35 +67,26 @@
 
 /// Does what the process's arguments and environment say.
 pub fn main() -> ExitCode {
-    run(Cli::parse())
-}
-
-/// Serves by what the environment says alone; for a program that hosts the daemon.
-pub fn serve() -> ExitCode {
-    run(Cli::parse_from(["frostturn"]))
-}
-
-fn run(cli: Cli) -> ExitCode {
-    crate::log::start(match cli.log {
+    // The platform starts it with no word at all: the parser's pages then needn't be in a small router's memory.
+    if std::env::args_os().len() <= 1 {
+        return serve();
+    }
+    let cli = Cli::parse();
+    let format = match cli.log {
         LogFormat::Text => Format::Text,
         LogFormat::Json => Format::Json,
-    });
+    };
     match cli.command {
         None | Some(Command::Serve) => {
             let given = |text: Option<String>| text.filter(|text| !text.is_empty());
+            let named = |path: Option<PathBuf>| path.filter(|path| !path.as_os_str().is_empty());
             let sources = Sources {
-                config: cli.config.filter(|path| !path.as_os_str().is_empty()),
+                config: named(cli.config),
                 name: given(cli.name),
                 listen: given(cli.listen),
-                operator: cli.operator.filter(|path| !path.as_os_str().is_empty()),
+                operator: named(cli.operator),
             };
-            match crate::runtime::run(sources) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(reason) => {
-                    say!(always; "cannot start: {reason}");
-                    ExitCode::FAILURE
-                }
-            }
+            serve_by(format, sources)
         }
         Some(Command::Check { files }) => check(&files),
         Some(Command::Completions { shell }) => {
@@ -105,6 +96,37 @@
     }
 }
 
+/// Serves by what the environment says alone, under the names that the options give.
+pub fn serve() -> ExitCode {
+    let var = |name| std::env::var(name).ok().filter(|value: &String| !value.is_empty());
+    let format = match var("FROSTTURN_LOG").as_deref() {
+        None | Some("text") => Format::Text,
+        Some("json") => Format::Json,
+        Some(other) => {
+            eprintln!("FROSTTURN_LOG is neither text nor json: {other}");
+            return ExitCode::from(2);
+        }
+    };
+    let sources = Sources {
+        config: var("PROXY_CONFIG").map(PathBuf::from),
+        name: var("PROXY_NAME"),
+        listen: var("PROXY_LISTEN"),
+        operator: var("FROSTTURN_OPERATOR").map(PathBuf::from),
+    };
+    serve_by(format, sources)
+}
+
+fn serve_by(format: Format, sources: Sources) -> ExitCode {
+    crate::log::start(format);
+    match crate::runtime::run(sources) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            say!(always; "cannot start: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Reports each file's faults on standard error and each good one on standard output.
 fn check(files: &[PathBuf]) -> ExitCode {
     let mut good = true;
