--- a/crates/frostturn-lab/src/main.rs
+++ b/crates/frostturn-lab/src/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod clients;
 mod daemon;
+mod hostile;
 mod machines;
 mod report;
 mod scenarios;
--- a/crates/frostturn-lab/src/scenarios/mod.rs
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! What can be run. A seed fixes the failures and the load.
 
 pub mod addresses;
+pub mod plugins;
 pub mod up;
 
 use crate::report::Report;
@@ -35,11 +36,16 @@
 }
 
 /// All of them.
-pub const ALL: [Scenario; 2] = [
+pub const ALL: [Scenario; 3] = [
     Scenario { name: "up", about: "a small site, served for some seconds", run: up::run },
     Scenario {
         name: "addresses",
         about: "machines with three ways each, all of which fail in all ways",
         run: addresses::run,
     },
+    Scenario {
+        name: "plugins",
+        about: "plug-ins that mean harm, exchanged under load, beside a box that starts cold",
+        run: plugins::run,
+    },
 ];
--- /dev/null
+++ b/crates/frostturn-lab/src/scenarios/plugins.rs
@@ -0,0 +1,133 @@
+//! Plug-ins that mean harm, drawn by the seed, exchanged under load every 100 ms, beside a box that starts cold.
+
+use super::Options;
+use crate::check::Millis;
+use crate::clients::{self, Load};
+use crate::hostile;
+use crate::machines::{Failure, CAPACITY, COLD_FROM, COLD_MS};
+use crate::report::{Bound, Report};
+use crate::site::{Site, Status};
+use frostturn::api::{ClassSettings, Settings};
+use frostturn::plugins::{About, Loaded, Plugins, Spec, Watch, MAX_PLUGINS};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use std::fmt::Write as _;
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const BOXES: usize = 8;
+const RATE: f64 = 1850.0;
+const QUIET_SECONDS: f64 = 9.0;
+const SECONDS: f64 = 24.0;
+const SWAP_MS: u64 = 100;
+/// When a box dies and when it is back, cold.
+const DIES_MS: Millis = 2500.0;
+const BACK_MS: Millis = 3500.0;
+/// What one event may hold the loop for, with all plug-ins spending all of their budgets. Stated in the design note.
+const HOLD_US: f64 = 5000.0;
+
+/// Plays it.
+pub fn run(options: &Options) -> Result<Report, String> {
+    let hold = loop_hold_us()?;
+    let (usual, load) = serve(options, QUIET_SECONDS, false)?;
+    let seconds = options.seconds.unwrap_or(SECONDS);
+    let (mut report, hostile) = serve(options, seconds, true)?;
+    let p99 = |load: &Load| load.latency.value_at_quantile(0.99) as f64;
+    let bounds = &mut report.bounds;
+    bounds.push(Bound::least("hostile_worth_ratio", report.worth / usual.worth, 0.98));
+    bounds.push(Bound::most("p99_ratio", p99(&hostile) / p99(&load).max(1.0), 1.15));
+    bounds.push(Bound::most("swap_dropped", (report.rules.lost + hostile.unsent) as f64, 0.0));
+    bounds.push(Bound::most("cold_overload", report.rules.cold as f64, 0.0));
+    bounds.push(Bound::most("loop_hold_max_us", hold, HOLD_US));
+    bounds.push(Bound::least("requests", report.requests as f64, 40_000.0));
+    Ok(report)
+}
+
+fn serve(options: &Options, seconds: f64, hostile: bool) -> Result<(Report, Load), String> {
+    let mut rng = StdRng::seed_from_u64(options.seed ^ 0x9106_1a5e);
+    let site = Site::start(BOXES, false)?;
+    let all = hostile::all();
+    let mut drawn: Vec<usize> = (0..all.len()).collect();
+    drawn.shuffle(&mut rng);
+    drawn.truncate(if hostile { MAX_PLUGINS } else { 0 });
+    write(&site, &all, &drawn)?;
+    let daemon = site.daemon(options.daemon.as_deref(), false, options.seed)?;
+    let (world, address, rate) = (site.world.clone(), daemon.address, options.rate.unwrap_or(RATE));
+    let (start, seed) = (world.now(), options.seed);
+    let load = thread::spawn(move || clients::run(&world, address, rate, seconds * 1e3, seed));
+    let mut next = start;
+    let (mut died, mut back) = (false, false);
+    while site.world.now() < start + seconds * 1e3 {
+        let at = site.world.now() - start;
+        let ways = |failure: Failure| site.boxes[0].ways.iter().for_each(|way| way.fail(failure));
+        if !died && at >= DIES_MS {
+            died = true;
+            ways(Failure::Refused);
+        }
+        if !back && at >= BACK_MS {
+            back = true;
+            ways(Failure::None);
+            site.boxes[0].forget();
+            let budget = crate::check::Budget { first: 3.0 * COLD_FROM * CAPACITY, last: 3.0 * CAPACITY };
+            site.tell(0, Status::Active, Some((COLD_MS, budget)));
+        }
+        if hostile && site.world.now() >= next {
+            next += SWAP_MS as f64;
+            // One of them gives way to another: all files are read anew.
+            let place = rng.random_range(0..drawn.len());
+            let fresh = (0..all.len()).filter(|one| !drawn.contains(one)).collect::<Vec<usize>>();
+            drawn[place] = fresh[rng.random_range(0..fresh.len())];
+            write(&site, &all, &drawn)?;
+            daemon.reload();
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let load = load.join().map_err(|_| "the clients panicked".to_owned())?;
+    let (report, _, ended) = site.finish("plugins", seed, daemon, &load);
+    ended.map(|()| (report, load))
+}
+
+/// Writes the programs and the operator's file.
+fn write(site: &Site, all: &[(&'static str, String)], drawn: &[usize]) -> Result<(), String> {
+    let mut text = String::from("(frostturn (plugins\n");
+    for at in drawn {
+        let (name, program) = &all[*at];
+        let path = site.dir.join(format!("{name}.wat"));
+        if !path.exists() {
+            std::fs::write(&path, program).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        let _ = writeln!(text, "  (plugin \"{name}\" (file \"{}\"))", path.display());
+    }
+    text.push_str("))\n");
+    site.write_text(&text)
+}
+
+/// The longest that one request's advice holds the loop, in microseconds, with as many endless loops as there may be
+/// plug-ins, of which each pauses and is started afresh.
+fn loop_hold_us() -> Result<f64, String> {
+    let class = ClassSettings { name: "page".into(), deadline_ms: 1500.0, ..ClassSettings::default() };
+    let settings = Settings { classes: vec![class], ..Settings::default() };
+    let all = hostile::all();
+    let endless = all.iter().find(|(name, _)| *name == "loop-request").ok_or("no endless loop")?;
+    let order: Vec<String> = (0..MAX_PLUGINS).map(|at| format!("loop{at}")).collect();
+    let mut loaded = Vec::new();
+    for name in &order {
+        let spec = Spec::new(name, PathBuf::new());
+        loaded.push(Loaded::new(spec, endless.1.as_bytes().into()).map_err(|fault| fault.to_string())?);
+    }
+    let mut plugins = Plugins::new(&settings);
+    plugins.replace(0.0, &order, loaded);
+    let watch = Watch::new(&settings);
+    let about =
+        About { class: 0, object: None, piece: 0, group: 0, size_kb: None, left_ms: 900.0, repeat: false };
+    let mut most: f64 = 0.0;
+    for turn in 0..60 {
+        let start = Instant::now();
+        plugins.request(f64::from(turn) * 500.0, &about, &watch);
+        most = most.max(start.elapsed().as_secs_f64() * 1e6);
+        plugins.take_lines();
+    }
+    Ok(most)
+}
--- a/crates/frostturn-lab/src/site.rs
+++ b/crates/frostturn-lab/src/site.rs
@@ -90,6 +90,11 @@
             let _ = writeln!(text, "  (machine \"{}\"{listed})", one.name);
         }
         text.push_str("))\n");
+        self.write_text(&text)
+    }
+
+    /// Writes the operator's file as it is given.
+    pub fn write_text(&self, text: &str) -> Result<(), String> {
         std::fs::write(&self.operator, text).map_err(|e| format!("the operator's file: {e}"))
     }
 
--- a/deploy/operator.example.scm
+++ b/deploy/operator.example.scm
@@ -35,4 +35,17 @@
     (machine "s-00c41f7a"
       (unix "/run/box/a.sock")
       (tcp "[::1]:7001")
-      (tcp "127.0.0.1:7001"))))
+      (tcp "127.0.0.1:7001")))
+
+  ; The operators' own programs that give advice on routing, asked in this order. docs/operators/plugins.md
+  (plugins
+    (plugin "photos"
+      (file "/etc/frostturn/photos.wat")
+      (settings (group 12)))            ; passed to its init, a line `group 12`
+    (plugin "full"
+      (file "/etc/frostturn/refuse_early.wat")
+      (settings (class 0))
+      (may-refuse "training-video")     ; classes of which it may have requests refused; none without this
+      (memory 1mb)                      ; 64kb to 4mb
+      (fuel 20000)                      ; instructions of one call
+      (fuel-per-second 10000000))))     ; instructions a second
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -14,7 +14,12 @@
 #[test]
 fn the_annotated_example_is_good_and_says_what_it_seems_to() {
     let text = include_bytes!("../deploy/operator.example.scm");
-    let rules = Operator::read(text).expect("good").addresses.expect("on");
+    let operator = Operator::read(text).expect("good");
+    let plugins: Vec<(&str, usize)> =
+        operator.plugins.iter().map(|spec| (spec.name.as_str(), spec.may_refuse.len())).collect();
+    assert_eq!(plugins, [("photos", 0), ("full", 1)]);
+    assert_eq!(operator.plugins[0].settings_text(), "group 12\n");
+    let rules = operator.addresses.expect("on");
     assert_eq!(rules.order, [Family::Unix, Family::Ipv6, Family::Ipv4]);
     assert_eq!((rules.attempt_delay, rules.pause), ((20.0, 80.0), (250.0, 30_000.0)));
     let ways = &rules.machines["s-00c41f7a"];
@@ -44,6 +49,29 @@
         ("(frostturn (addresses (machine \"a\")))", vec!["1:23: a machine has 1 to 7 endpoints"]),
         ("(frostturn (addresses (machine \"a\" (tcp \"nowhere:1\"))))", vec!["1:41: an address and port"]),
         ("(frostturn (addresses (machine \"a\" (unix \"box.sock\"))))", vec!["1:42: an absolute path"]),
+        ("(frostturn (plugins (plugin \"a\")))", vec!["1:21: a plug-in needs (file"]),
+        ("(frostturn (plugins (plugin \"a b\" (file \"/x\"))))", vec!["1:29: a name has letters"]),
+        ("(frostturn (plugins (plugin \"a\" (file \"x\"))))", vec!["1:39: an absolute path"]),
+        (
+            "(frostturn (plugins (plugin \"a\" (file \"/x\") (memory 64))))",
+            vec!["1:54: a size with its unit"],
+        ),
+        (
+            "(frostturn (plugins (plugin \"a\" (file \"/x\") (memory 9mb))))",
+            vec!["1:54: must lie between 64kb"],
+        ),
+        (
+            "(frostturn (plugins (plugin \"a\" (file \"/x\") (fuel 1))))",
+            vec!["1:52: a whole number from 100"],
+        ),
+        (
+            "(frostturn (plugins (plugin \"a\" (file \"/x\") (may-refuse page))))",
+            vec!["1:58: text in double"],
+        ),
+        (
+            "(frostturn (plugins (plugin \"a\" (file \"/x\")) (plugin \"a\" (file \"/x\"))))",
+            vec!["1:54: plug-in \"a\" is there twice"],
+        ),
         (
             "(frostturn (addresses (order unix) (machine \"a\" (tcp \"[::1]:1\"))))",
             vec!["1:1: [::1]:1 of a is of a family that the order leaves out"],
