--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -54,19 +54,19 @@
         ("(frostturn (plugins (plugin \"a\" (file \"x\"))))", vec!["1:39: an absolute path"]),
         (
             "(frostturn (plugins (plugin \"a\" (file \"/x\") (memory 64))))",
-            vec!["1:54: a size with its unit"],
+            vec!["1:53: a size with its unit"],
         ),
         (
             "(frostturn (plugins (plugin \"a\" (file \"/x\") (memory 9mb))))",
-            vec!["1:54: must lie between 64kb"],
+            vec!["1:53: must lie between 64kb"],
         ),
         (
             "(frostturn (plugins (plugin \"a\" (file \"/x\") (fuel 1))))",
-            vec!["1:52: a whole number from 100"],
+            vec!["1:51: a whole number from 100"],
         ),
         (
             "(frostturn (plugins (plugin \"a\" (file \"/x\") (may-refuse page))))",
-            vec!["1:58: text in double"],
+            vec!["1:57: text in double"],
         ),
         (
             "(frostturn (plugins (plugin \"a\" (file \"/x\")) (plugin \"a\" (file \"/x\"))))",
