--- a/crates/frostturn-lab/src/clients.rs
+++ b/crates/frostturn-lab/src/clients.rs
@@ -23,6 +23,8 @@
 const SIZE_KB: &str = "25";
 /// Connections to a router, all of them open from the start, as the front's web servers keep them.
 const CONNS: usize = 24;
+/// Groups of objects.
+pub const GROUPS: u64 = 16;
 /// Objects that are asked for, by Zipf's law.
 const OBJECTS: f64 = 400.0;
 
@@ -207,7 +209,7 @@
     if kept.object {
         pair("HTTP_X_OBJECT", format!("{object:016x}"));
         pair("HTTP_X_CHUNK", "0".to_owned());
-        pair("HTTP_X_TAG", format!("{}", object % 16));
+        pair("HTTP_X_TAG", format!("{}", object % GROUPS));
         pair("HTTP_X_MEMORY_KB", SIZE_KB.to_owned());
     }
     for (what, content) in [(kind::PARAMS, &params[..]), (kind::PARAMS, b""), (kind::STDIN, b"")] {
--- a/crates/frostturn-lab/src/machines.rs
+++ b/crates/frostturn-lab/src/machines.rs
@@ -2,7 +2,8 @@
 //! failure.
 
 use crate::check::Millis;
-use crate::world::{unix_ms, First, World};
+use crate::clients::GROUPS;
+use crate::world::{unix_ms, First, World, PHOTOS};
 use frostturn::resp::{frame, Decoder};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, SockAddr, Socket, Type};
@@ -462,6 +463,11 @@
         };
         if let Some(object) = object {
             held.insert(object, stamp);
+            if self.kind == "std" {
+                let mut seen = self.world.seen();
+                let (from, all) = &mut seen.held[usize::from(object % GROUPS != PHOTOS)];
+                (*from, *all) = (*from + u64::from(tell == "cached"), *all + 1);
+            }
         }
         let mut bytes = format!("{stamp:.0}\n").into_bytes();
         bytes.extend_from_slice(body);
--- a/crates/frostturn-lab/src/scenarios/mod.rs
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! What can be run. A seed fixes the failures and the load.
 
 pub mod addresses;
+pub mod photos;
 pub mod plugins;
 pub mod up;
 
@@ -36,7 +37,7 @@
 }
 
 /// All of them.
-pub const ALL: [Scenario; 3] = [
+pub const ALL: [Scenario; 4] = [
     Scenario { name: "up", about: "a small site, served for some seconds", run: up::run },
     Scenario {
         name: "addresses",
@@ -48,4 +49,9 @@
         about: "plug-ins that mean harm, exchanged under load, beside a box that starts cold",
         run: plugins::run,
     },
+    Scenario {
+        name: "photos",
+        about: "the worked plug-in for staff photos, against none, where boxes come back empty",
+        run: photos::run,
+    },
 ];
--- /dev/null
+++ b/crates/frostturn-lab/src/scenarios/photos.rs
@@ -0,0 +1,80 @@
+//! What the worked plug-in for staff photos gains where boxes come back empty: the same load and the same boxes,
+//! with it and without.
+
+use super::Options;
+use crate::check::Budget;
+use crate::clients;
+use crate::machines::{Failure, CAPACITY, COLD_FROM, COLD_MS};
+use crate::report::{Bound, Report};
+use crate::site::{Site, Status};
+use crate::world::PHOTOS;
+use std::thread;
+use std::time::Duration;
+
+const BOXES: usize = 8;
+const RATE: f64 = 800.0;
+const SECONDS: f64 = 15.0;
+/// A box leaves, and is back empty a while later, before the next one leaves.
+const EVERY_MS: f64 = 1800.0;
+const AWAY_MS: f64 = 900.0;
+const FIRST_MS: f64 = 2000.0;
+const PROGRAM: &str = include_str!("../../../../examples/plugins/photos.wat");
+
+/// Plays it twice.
+pub fn run(options: &Options) -> Result<Report, String> {
+    let (usual, before) = serve(options, false)?;
+    let (mut report, after) = serve(options, true)?;
+    let share = |(held, all): (u64, u64)| held as f64 / all.max(1) as f64;
+    println!(
+        "photos from memory: {:.4} without, {:.4} with; other objects {:.4}, {:.4}",
+        share(before[0]),
+        share(after[0]),
+        share(before[1]),
+        share(after[1])
+    );
+    let bounds = &mut report.bounds;
+    bounds.push(Bound::least("photos_memory_gain", share(after[0]) - share(before[0]), 0.005));
+    bounds.push(Bound::least("rest_memory_ratio", share(after[1]) / share(before[1]).max(1e-9), 0.99));
+    bounds.push(Bound::least("worth_ratio", report.worth / usual.worth, 0.99));
+    bounds.push(Bound::least("photos", after[0].1 as f64, 300.0));
+    Ok(report)
+}
+
+/// What was answered from memory, of all: photos, and the rest.
+type Held = [(u64, u64); 2];
+
+fn serve(options: &Options, with: bool) -> Result<(Report, Held), String> {
+    let site = Site::start(BOXES, false)?;
+    let path = site.dir.join("photos.wat");
+    std::fs::write(&path, PROGRAM).map_err(|e| format!("{}: {e}", path.display()))?;
+    let plugin = format!(
+        "(frostturn (plugins (plugin \"photos\" (file \"{}\") (settings (group {PHOTOS})))))",
+        path.display()
+    );
+    site.write_text(if with { &plugin } else { "(frostturn)" })?;
+    let daemon = site.daemon(options.daemon.as_deref(), false, options.seed)?;
+    let seconds = options.seconds.unwrap_or(SECONDS);
+    let (world, address, rate) = (site.world.clone(), daemon.address, options.rate.unwrap_or(RATE));
+    let (start, seed) = (world.now(), options.seed);
+    let load = thread::spawn(move || clients::run(&world, address, rate, seconds * 1e3, seed));
+    let budget = Budget { first: 3.0 * COLD_FROM * CAPACITY, last: 3.0 * CAPACITY };
+    let sleep_until = |at: f64| {
+        let wait = start + at - site.world.now();
+        thread::sleep(Duration::from_secs_f64(wait.max(0.0) / 1e3));
+    };
+    let mut leaves = (FIRST_MS, options.seed as usize % BOXES);
+    while leaves.0 + AWAY_MS < seconds * 1e3 {
+        let (at, one) = leaves;
+        sleep_until(at);
+        // Told before it goes: what is out there is finished, and nothing new comes.
+        site.tell(one, Status::Left, None);
+        sleep_until(at + AWAY_MS);
+        site.boxes[one].ways.iter().for_each(|way| way.fail(Failure::None));
+        site.boxes[one].forget();
+        site.tell(one, Status::Active, Some((COLD_MS, budget)));
+        leaves = (at + EVERY_MS, (one + 3) % BOXES);
+    }
+    let load = load.join().map_err(|_| "the clients panicked".to_owned())?;
+    let (report, seen, ended) = site.finish("photos", seed, daemon, &load);
+    ended.map(|()| (report, seen.held))
+}
--- a/crates/frostturn-lab/src/scenarios/plugins.rs
+++ b/crates/frostturn-lab/src/scenarios/plugins.rs
@@ -31,9 +31,9 @@
 /// Plays it.
 pub fn run(options: &Options) -> Result<Report, String> {
     let hold = loop_hold_us()?;
-    let (usual, load) = serve(options, QUIET_SECONDS, false)?;
+    let (usual, load, _) = serve(options, QUIET_SECONDS, false)?;
     let seconds = options.seconds.unwrap_or(SECONDS);
-    let (mut report, hostile) = serve(options, seconds, true)?;
+    let (mut report, hostile, taken) = serve(options, seconds, true)?;
     let p99 = |load: &Load| load.latency.value_at_quantile(0.99) as f64;
     let bounds = &mut report.bounds;
     bounds.push(Bound::least("hostile_worth_ratio", report.worth / usual.worth, 0.98));
@@ -41,11 +41,12 @@
     bounds.push(Bound::most("swap_dropped", (report.rules.lost + hostile.unsent) as f64, 0.0));
     bounds.push(Bound::most("cold_overload", report.rules.cold as f64, 0.0));
     bounds.push(Bound::most("loop_hold_max_us", hold, HOLD_US));
+    bounds.push(Bound::least("swaps_taken", taken as f64, (seconds * 1e3 / SWAP_MS as f64 * 0.5).floor()));
     bounds.push(Bound::least("requests", report.requests as f64, 40_000.0));
     Ok(report)
 }
 
-fn serve(options: &Options, seconds: f64, hostile: bool) -> Result<(Report, Load), String> {
+fn serve(options: &Options, seconds: f64, hostile: bool) -> Result<(Report, Load, usize), String> {
     let mut rng = StdRng::seed_from_u64(options.seed ^ 0x9106_1a5e);
     let site = Site::start(BOXES, false)?;
     let all = hostile::all();
@@ -85,8 +86,9 @@
         thread::sleep(Duration::from_millis(10));
     }
     let load = load.join().map_err(|_| "the clients panicked".to_owned())?;
-    let (report, _, ended) = site.finish("plugins", seed, daemon, &load);
-    ended.map(|()| (report, load))
+    let (report, seen, ended) = site.finish("plugins", seed, daemon, &load);
+    let taken = seen.log.matches("plug-ins taken: ").count();
+    ended.map(|()| (report, load, taken))
 }
 
 /// Writes the programs and the operator's file.
--- a/crates/frostturn-lab/src/site.rs
+++ b/crates/frostturn-lab/src/site.rs
@@ -159,6 +159,7 @@
             Ok(())
         };
         examples.extend(ended.as_ref().err().cloned());
+        seen.log = log;
         let report = Report {
             scenario,
             seed,
--- a/crates/frostturn-lab/src/world.rs
+++ b/crates/frostturn-lab/src/world.rs
@@ -19,6 +19,9 @@
     pub after_ms: Millis,
 }
 
+/// The group of the staff photos.
+pub const PHOTOS: u64 = 12;
+
 /// What stand-ins note beside the rules.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -40,6 +43,10 @@
     pub after_reload: u64,
     /// Ways that were taken away, and when.
     pub taken_away: BTreeMap<(usize, usize), Millis>,
+    /// Answers from what a box held, and all, of photos and of other objects.
+    pub held: [(u64, u64); 2],
+    /// What the daemon logged; only to see that a scenario was what it claims to be.
+    pub log: String,
     /// Requests that came: machine, when.
     pub arrivals: Vec<(usize, Millis)>,
 }
--- a/deploy/operator.example.scm
+++ b/deploy/operator.example.scm
@@ -39,6 +39,7 @@
 
   ; The operators' own programs that give advice on routing, asked in this order. docs/operators/plugins.md
   (plugins
+    (record "/run/frostturn/views.hex") ; SIGUSR1 writes the latest views there, for `frostturn plugin run`
     (plugin "photos"
       (file "/etc/frostturn/photos.wat")
       (settings (group 12)))            ; passed to its init, a line `group 12`
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -13,7 +13,7 @@
 use crate::plugins::Spec;
 use form::{Form, Node, Reader};
 use std::io::Read;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Bytes of a file, at most.
 const MAX_FILE: u64 = 1 << 20;
@@ -25,6 +25,8 @@
     pub addresses: Option<Rules>,
     /// `(plugins …)`: the operators' own programs that give advice, in their order.
     pub plugins: Vec<Spec>,
+    /// Where SIGUSR1 has the latest views of requests written, for `frostturn plugin run`.
+    pub record: Option<PathBuf>,
 }
 
 impl Operator {
@@ -52,7 +54,7 @@
             };
             match word {
                 "addresses" => operator.addresses = Some(addresses::read(&mut reader, rest)),
-                _ => operator.plugins = plugins::read(&mut reader, rest),
+                _ => (operator.plugins, operator.record) = plugins::read(&mut reader, rest),
             }
         }
         reader.finish(operator)
--- a/src/operator/plugins.rs
+++ b/src/operator/plugins.rs
@@ -12,9 +12,15 @@
 const MAX_FUEL: usize = 200_000;
 const MAX_FUEL_PER_S: usize = 100_000_000;
 
-pub(super) fn read(reader: &mut Reader, parts: &[Node]) -> Vec<Spec> {
+pub(super) fn read(reader: &mut Reader, parts: &[Node]) -> (Vec<Spec>, Option<PathBuf>) {
     let mut specs: Vec<Spec> = Vec::new();
+    let mut record = None;
     for part in parts {
+        if let Some(("record", values)) = head(part) {
+            let Some([value]) = reader.exactly(part.at, values) else { continue };
+            record = path(reader, value);
+            continue;
+        }
         let Some(rest) = reader.headed(part, "plugin") else { continue };
         let Some((name, rest)) = rest.split_first() else {
             reader.fault(part.at, "a plug-in's name and its settings are wanted");
@@ -36,7 +42,16 @@
         one(reader, part, rest, &mut spec);
         specs.push(spec);
     }
-    specs
+    (specs, record)
+}
+
+/// An absolute path.
+fn path(reader: &mut Reader, value: &Node) -> Option<PathBuf> {
+    let text = reader.text(value)?;
+    if !text.starts_with('/') {
+        reader.fault(value.at, "an absolute path is wanted");
+    }
+    Some(PathBuf::from(text))
 }
 
 fn one(reader: &mut Reader, part: &Node, rest: &[Node], spec: &mut Spec) {
@@ -46,11 +61,7 @@
         match word {
             "file" => {
                 let Some([value]) = reader.exactly(node.at, values) else { continue };
-                let Some(text) = reader.text(value) else { continue };
-                if !text.starts_with('/') {
-                    reader.fault(value.at, "an absolute path is wanted");
-                }
-                spec.file = PathBuf::from(text);
+                spec.file = path(reader, value).unwrap_or_default();
             }
             "memory" => {
                 let Some([value]) = reader.exactly(node.at, values) else { continue };
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -23,6 +23,7 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -107,6 +108,8 @@
     /// Loads of plug-ins so far, and where their threads tell of themselves; none while there are no plug-ins.
     plugin_turn: u64,
     plugin_ready: Option<calloop::channel::Sender<plugins::Ready>>,
+    /// Where the latest views are written when they are asked for.
+    record: Option<PathBuf>,
 }
 
 /// Serves until it is told to end.
@@ -169,9 +172,11 @@
         buffer: vec![0; 64 * 1024],
         plugin_turn: 0,
         plugin_ready: None,
+        record: None,
     };
     let unix_ms = unix_ms();
     state.inbox.extend(config.known.into_iter().map(|notice| Input::Notice { notice, unix_ms }));
+    state.record = operator.record;
     state.load_plugins(operator.plugins);
     state.work();
     say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
@@ -224,6 +229,7 @@
                     for (name, counts) in self.reducer.plugins().into_iter().flat_map(|all| all.counts()) {
                         say!(always; "plug-in {name}: {counts:?}");
                     }
+                    self.write_views();
                 }
                 Signal::SIGHUP => self.reload(self.sources.load()),
                 _ => {
@@ -362,6 +368,7 @@
         self.reducer.set_net(config.net);
         self.links.set_most(self.reducer.most_links());
         self.links.set_rules(operator.addresses);
+        self.record = operator.record;
         self.load_plugins(operator.plugins);
         if config.board != self.board_at {
             // The old board tells nothing more: what it has begun to say is asked for again, at the new one.
--- a/src/runtime/plugins.rs
+++ b/src/runtime/plugins.rs
@@ -5,6 +5,7 @@
 use crate::plugins::{Loaded, Spec};
 use crate::say;
 use calloop::channel::{self, Event, Sender};
+use std::fmt::Write;
 use std::io::Read;
 use std::path::Path;
 use std::sync::Arc;
@@ -71,6 +72,24 @@
         });
     }
 
+    /// Writes the latest views of requests, a line of hex digits each, whole or not at all.
+    pub(super) fn write_views(&self) {
+        let (Some(path), Some(plugins)) = (&self.record, self.reducer.plugins()) else { return };
+        let mut text = String::new();
+        for view in plugins.recorded() {
+            view.iter().for_each(|byte| {
+                let _ = write!(text, "{byte:02x}");
+            });
+            text.push('\n');
+        }
+        let part = path.with_extension("part");
+        let shown = path.display();
+        match std::fs::write(&part, text).and_then(|()| std::fs::rename(&part, path)) {
+            Ok(()) => say!(always; "the latest views are in {shown}"),
+            Err(e) => say!(always; "the latest views can't be written to {shown}: {e}"),
+        }
+    }
+
     /// Where loading threads tell what they have come to.
     fn plugin_sender(&mut self) -> Option<Sender<Ready>> {
         if self.plugin_ready.is_none() {
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -291,3 +291,35 @@
     assert!(served_at.is_some(), "it is reached over the new way");
     assert!(served.end().contains(" reloads=1 "));
 }
+
+#[test]
+fn a_plug_in_is_loaded_exchanged_by_a_signal_and_kept_where_the_new_version_is_bad() {
+    let text = include_str!("../examples/plugins/new.wat");
+    let program = file("plugin.wat", text);
+    let views = file("views.hex", "");
+    let operator = format!("(frostturn (plugins (record \"{views}\") (plugin \"p\" (file \"{program}\"))))");
+    let operator = file("plugins.scm", &operator);
+    let mut served = start_with("plugin", &machine(|_| "DONE"), &["--operator", &operator]);
+    served.line("plug-ins taken: p");
+    let mut stream = TcpStream::connect(&served.address).expect("it listens");
+    ask(&mut stream, 1, "/ops/page", "00000000000000a1");
+    assert!(answer(&mut stream, 1).starts_with("Status: 200 "));
+    file("plugin.wat", "(module (func");
+    served.signal("-HUP");
+    served.line("plug-in p is not taken, an old version stays");
+    ask(&mut stream, 2, "/ops/page", "00000000000000a2");
+    assert!(answer(&mut stream, 2).starts_with("Status: 200 "));
+    served.signal("-USR1");
+    served.line("labels: {\"seen\": 2}");
+    served.line("the latest views are in");
+    file("plugin.wat", text);
+    let replayed = Command::new(env!("CARGO_BIN_EXE_frostturn"))
+        .args(["plugin", "run", &program, "--views", &views])
+        .output()
+        .expect("it runs");
+    let lines = String::from_utf8_lossy(&replayed.stdout).into_owned();
+    assert_eq!(lines.matches("Label(\"seen\")").count(), 2, "{lines}");
+    served.signal("-HUP");
+    served.line("plug-ins taken: p");
+    served.end();
+}
