Take operators' calls, and let a new version start beside the old one

Change: src/ops (HTTP/1.1, one call a connection, precise refusals), src/service (serving, evacuating, ending, pure), exclusions as a second fact about a machine, read as a drain in the one place where the board's word comes in; both processes listen by SO_REUSEPORT, and one that ends takes what the kernel has let in before it closes its door.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,9 @@
     /// Where clients connect, as 127.0.0.1:7001 or [::1]:7001; goes before the config's
     #[arg(long, env = "PROXY_LISTEN", value_name = "ADDRESS", global = true)]
     listen: Option<String>,
+    /// Where operators call, as 127.0.0.1:9600; goes before the config's; neither: nowhere
+    #[arg(long, env = "PROXY_OPS", value_name = "ADDRESS", global = true)]
+    ops: Option<String>,
     /// The operator's file (S-expressions) that switches on further subsystems; without it none is on
     #[arg(long, env = "FROSTTURN_OPERATOR", value_name = "FILE", global = true)]
     operator: Option<PathBuf>,
@@ -89,6 +92,7 @@
                 config: named(cli.config),
                 name: given(cli.name),
                 listen: given(cli.listen),
+                ops: given(cli.ops),
                 operator: named(cli.operator),
             };
             serve_by(format, sources)
@@ -117,6 +121,7 @@
         config: var("PROXY_CONFIG").map(PathBuf::from),
         name: var("PROXY_NAME"),
         listen: var("PROXY_LISTEN"),
+        ops: var("PROXY_OPS"),
         operator: var("FROSTTURN_OPERATOR").map(PathBuf::from),
     };
     serve_by(format, sources)
--- a/src/config.rs
+++ b/src/config.rs
@@ -41,6 +41,8 @@
     pub listen: SocketAddr,
     /// The notice board.
     pub board: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// For random choices.
     pub seed: u64,
     /// The notice board's last event that `known` holds.
@@ -62,6 +64,8 @@
     pub name: Option<String>,
     /// Goes before the config's address.
     pub listen: Option<String>,
+    /// Goes before the config's place for operators' calls.
+    pub ops: Option<String>,
     /// The operator's file; `None`: nothing further is switched on.
     pub operator: Option<PathBuf>,
 }
@@ -73,7 +77,10 @@
         let shown = path.display();
         let bytes = std::fs::read(path).map_err(|e| format!("{shown}: {e}"))?;
         let config = Config::read(bytes, self.name.clone(), self.listen.clone());
-        let config = config.map_err(|e| format!("{shown}: {e}"))?;
+        let mut config = config.map_err(|e| format!("{shown}: {e}"))?;
+        if let Some(ops) = &self.ops {
+            config.ops = Some(ops.parse().map_err(|_| format!("ops is not an address: {ops}"))?);
+        }
         let operator = self.operator.as_deref().map_or(Ok(Operator::default()), Operator::load)?;
         Ok((config, operator))
     }
@@ -110,6 +117,7 @@
             name: name.or(text("name")).unwrap_or_default(),
             listen: address(listen.or(text("listen")), "listen")?,
             board: address(text("board"), "board")?,
+            ops: text("ops").map(|ops| address(Some(ops), "ops")).transpose()?,
             seed,
             rev,
             known,
--- a/src/front.rs
+++ b/src/front.rs
@@ -298,6 +298,11 @@
         self.taken_back += bytes;
     }
 
+    /// Whether it could be closed now with nothing lost that has been read: nothing is open, half read or unwritten.
+    pub fn at_rest(&self) -> bool {
+        self.open.is_empty() && self.unwritten == 0 && self.decoder.pending() == 0
+    }
+
     /// How it stands with the clock. A client is owed word or a close soon, and descriptors are few.
     pub fn standing(&mut self, now: Millis) -> Standing {
         let awaits = self.open.values().any(|open| !open.coming());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,10 +75,12 @@
 pub mod front;
 pub mod log;
 pub mod operator;
+pub mod ops;
 pub mod plugins;
 pub mod policy;
 pub mod reducer;
 pub mod resp;
 pub mod runtime;
+pub mod service;
 
 pub use policy::Router;
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,137 @@
+//! Where operators call: HTTP/1.1, one call a connection. Bytes in, a call out; a verdict in, bytes out.
+//!
+//! Owns the form of calls and answers. It never decides: what a call means is [`crate::service`]'s and the
+//! reducer's.
+
+use crate::api::Millis;
+
+/// Bytes of one call, head and body.
+pub const MAX_CALL: usize = 4096;
+/// A call is whole by then, or its caller is let go: callers that connect and say nothing hold nothing up.
+pub const WHOLE_MS: Millis = 1000.0;
+/// Callers at once; beyond that the one that has waited longest is let go.
+pub const MAX_CALLERS: usize = 16;
+/// Bytes of a machine's name.
+const MAX_NAME: usize = 256;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Ready,
+    /// Nothing more to this machine.
+    Exclude(String),
+    /// It may serve again.
+    Include(String),
+    /// Empty the router.
+    Evacuate,
+    /// Take clients again.
+    Rejoin,
+}
+
+/// How a call is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Yes.
+    Yes,
+    /// Not now: 503.
+    No,
+    /// There is no such machine: 404.
+    Unknown,
+}
+
+/// Why a call can't be taken, as an HTTP status and a reason (RFC 9110, section 15.5).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal(pub u16, pub &'static str);
+
+/// Reads a call; `None`: it isn't whole yet.
+pub fn read(bytes: &[u8]) -> Result<Option<Call>, Refusal> {
+    if bytes.len() > MAX_CALL {
+        return Err(Refusal(413, "the call is too large"));
+    }
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Request::new(&mut headers);
+    let start = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(start)) => start,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(Refusal(400, "the call can't be read")),
+    };
+    let mut length = 0;
+    for header in head.headers.iter() {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let text = std::str::from_utf8(header.value).unwrap_or_default().trim();
+            length = text.parse::<usize>().map_err(|_| Refusal(400, "the length can't be read"))?;
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(Refusal(411, "a length is wanted"));
+        }
+    }
+    if length > MAX_CALL {
+        return Err(Refusal(413, "the call is too large"));
+    }
+    let Some(body) = bytes[start..].get(..length) else { return Ok(None) };
+    let name = || {
+        let text = std::str::from_utf8(body).unwrap_or_default().trim();
+        let good = !text.is_empty() && text.len() <= MAX_NAME && !text.contains(char::is_whitespace);
+        good.then(|| text.to_owned()).ok_or(Refusal(400, "a machine's name is wanted in the body"))
+    };
+    let path = head.path.unwrap_or_default();
+    let (wanted, call) = match path.split('?').next().unwrap_or_default() {
+        "/api/ready" => ("GET", Ok(Call::Ready)),
+        "/api/exclude" => ("POST", name().map(Call::Exclude)),
+        "/api/include" => ("POST", name().map(Call::Include)),
+        "/api/evacuate" => ("POST", Ok(Call::Evacuate)),
+        "/api/rejoin" => ("POST", Ok(Call::Rejoin)),
+        _ => return Err(Refusal(404, "there is no such call")),
+    };
+    if head.method != Some(wanted) {
+        return Err(Refusal(405, "another method is wanted"));
+    }
+    call.map(Some)
+}
+
+/// An answer's bytes.
+pub fn answer(verdict: Result<Verdict, Refusal>) -> Vec<u8> {
+    let (status, words, reason) = match verdict {
+        Ok(Verdict::Yes) => (200, "OK", "yes"),
+        Ok(Verdict::No) => (503, "Service Unavailable", "no"),
+        Ok(Verdict::Unknown) => (404, "Not Found", "there is no such machine"),
+        Err(Refusal(status, reason)) => (status, "Refused", reason),
+    };
+    let length = reason.len() + 1;
+    format!("HTTP/1.1 {status} {words}\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{reason}\n")
+        .into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::{Gen, QuickCheck};
+
+    #[test]
+    fn calls_are_read_whole_wherever_they_are_split_and_refused_precisely() {
+        let call = b"POST /api/exclude HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\ns-00c41f7a";
+        assert!((0..call.len()).all(|at| read(&call[..at]) == Ok(None)));
+        assert_eq!(read(call), Ok(Some(Call::Exclude("s-00c41f7a".into()))));
+        let status = |text: &str| read(text.as_bytes()).map_err(|refusal| refusal.0);
+        assert_eq!(status("GET /api/ready HTTP/1.1\r\n\r\n"), Ok(Some(Call::Ready)));
+        assert_eq!(status("GET /api/evacuate HTTP/1.1\r\n\r\n"), Err(405));
+        assert_eq!(status("POST /api/exclude HTTP/1.1\r\n\r\n"), Err(400));
+        assert_eq!(status("GET /api/none HTTP/1.1\r\n\r\n"), Err(404));
+        assert_eq!(status("POST /api/rejoin HTTP/1.1\r\nContent-Length: 9000\r\n\r\n"), Err(413));
+        assert_eq!(status("POST /api/rejoin HTTP/1.1\r\nContent-Length: x\r\n\r\n"), Err(400));
+        assert_eq!(status(&"x".repeat(5000)), Err(413));
+        assert_eq!(status("\x01\r\n\r\n"), Err(400));
+    }
+
+    #[test]
+    fn no_bytes_make_the_reader_panic() {
+        fn property(bytes: Vec<u8>) -> bool {
+            let _ = read(&bytes);
+            true
+        }
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(300, 5))
+            .tests(2000)
+            .quickcheck(property as fn(Vec<u8>) -> bool);
+    }
+}
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -9,9 +9,11 @@
 use crate::board::{Listed, Notice, Word};
 use crate::config::Net;
 use crate::counters::Counters;
+use crate::ops;
 use crate::plugins::{About, Loaded, Plugins, Watch};
+use crate::service::Service;
 use crate::Router;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// A request is answered this long before its client gives up: its way back, and a busy core.
 const GUARD_MS: Millis = 30.0;
@@ -199,6 +201,15 @@
     Due,
     /// The operators want it to end.
     Terminate,
+    /// An operator calls.
+    Operator {
+        /// Who.
+        caller: u64,
+        /// What for.
+        call: ops::Call,
+        /// The Unix time now.
+        unix_ms: Millis,
+    },
 }
 
 /// A final answer.
@@ -267,6 +278,13 @@
         /// When it started.
         at: Millis,
     },
+    /// Answer an operator.
+    Verdict {
+        /// Whom.
+        caller: u64,
+        /// What.
+        verdict: ops::Verdict,
+    },
     /// A line for the operators.
     Log(String),
     /// Take no more connections.
@@ -339,7 +357,10 @@
     buffered_all: usize,
     /// Bytes of the bodies of requests that are held.
     held_bytes: usize,
-    terminated: Option<Millis>,
+    service: Service,
+    /// Machines as the board listed them last, and those that operators have taken out.
+    listed_as: BTreeMap<CacheId, Listed>,
+    excluded: BTreeSet<CacheId>,
     exited: bool,
     events: VecDeque<Event>,
     effects: Vec<Effect>,
@@ -388,7 +409,9 @@
             buffered: HashMap::new(),
             buffered_all: 0,
             held_bytes: 0,
-            terminated: None,
+            service: Service::default(),
+            listed_as: BTreeMap::new(),
+            excluded: BTreeSet::new(),
             exited: false,
             events: VecDeque::new(),
             effects: Vec::new(),
@@ -424,7 +447,7 @@
     /// Whether clients can be served: there are machines to serve from, and no end in sight.
     pub fn ready(&self) -> bool {
         let serving = self.members.values().any(|member| member.phase == Phase::Serving);
-        serving && self.terminated.is_none()
+        serving && self.service.takes_clients()
     }
 
     /// Client connections that may be open.
@@ -490,6 +513,7 @@
             Input::Notice { notice, unix_ms } => self.notice(now, notice, unix_ms),
             Input::Due => {}
             Input::Terminate => self.terminate(now),
+            Input::Operator { caller, call, unix_ms } => self.operator(now, caller, call, unix_ms),
         }
         self.settle(now);
         while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 as f64 / 1000.0 <= now) {
@@ -566,7 +590,7 @@
         self.counters.taken += 1;
         self.counters.repeats += u64::from(ask.repeat);
         let mut guard = now + ask.timeout_ms - age_ms.max(0.0) - GUARD_MS;
-        if let Some(kill) = self.terminated.map(|at| at + self.patience()) {
+        if let Some(kill) = self.service.ending().map(|at| at + self.patience()) {
             guard = guard.min(kill);
         }
         let no_room = self.held_bytes + ask.body.len() > (self.net.memory as f64 * HELD_BODIES) as usize;
@@ -802,8 +826,19 @@
             stays
         });
         let mut entries = Vec::with_capacity(machines.len());
-        for listed in machines {
+        if whole {
+            self.listed_as.clear();
+        }
+        for mut listed in machines {
             let name = CacheId::from(listed.name.as_str());
+            match listed.phase {
+                Phase::Deleted => drop(self.listed_as.remove(&name)),
+                _ => drop(self.listed_as.insert(name.clone(), listed.clone())),
+            }
+            // An operator's word holds whatever the board says.
+            if listed.phase == Phase::Serving && self.excluded.contains(&name) {
+                listed.phase = Phase::Draining;
+            }
             let since = listed.since_unix_ms.map(|ms| ms - self.unix_offset);
             let was = self.members.insert(name.clone(), Member { phase: listed.phase, since, told: now });
             let address = (listed.phase != Phase::Deleted).then_some(listed.address);
@@ -855,6 +890,56 @@
         }
     }
 
+    /// Whether a client's connection with nothing open may be closed now.
+    pub fn closes_at_rest(&self, now: Millis) -> bool {
+        self.service.closes_at_rest(now)
+    }
+
+    /// Does what an operator asks for.
+    fn operator(&mut self, now: Millis, caller: u64, call: ops::Call, unix_ms: Millis) {
+        let yes = |yes| if yes { ops::Verdict::Yes } else { ops::Verdict::No };
+        let verdict = match call {
+            ops::Call::Ready => yes(self.ready()),
+            ops::Call::Evacuate => {
+                self.service.evacuate(now);
+                ops::Verdict::Yes
+            }
+            ops::Call::Rejoin => yes(self.service.rejoin()),
+            ops::Call::Exclude(name) => self.exclude(now, &name, true, unix_ms),
+            ops::Call::Include(name) => self.exclude(now, &name, false, unix_ms),
+        };
+        self.effects.push(Effect::Verdict { caller, verdict });
+    }
+
+    /// Takes a machine out, whatever the board says of it, or back. Twice out and once back is back; what is
+    /// out and unknown to the board meanwhile stays out.
+    fn exclude(&mut self, now: Millis, name: &str, out: bool, unix_ms: Millis) -> ops::Verdict {
+        let name = CacheId::from(name);
+        let Some(mut listed) = self.listed_as.get(&name).cloned() else {
+            return if self.excluded.contains(&name) && !out && self.excluded.remove(&name) {
+                ops::Verdict::Yes
+            } else {
+                ops::Verdict::Unknown
+            };
+        };
+        let changed = if out { self.excluded.insert(name.clone()) } else { self.excluded.remove(&name) };
+        if !changed {
+            return ops::Verdict::Yes;
+        }
+        let word = if out { "taken out" } else { "taken back" };
+        self.effects.push(Effect::Log(format!("{name} is {word} by an operator")));
+        if !out {
+            // It was restarted, as like as not: it is cold.
+            listed.since_unix_ms = Some(unix_ms);
+        }
+        self.pool(now, false, vec![listed]);
+        if !self.members.values().any(|member| member.phase == Phase::Serving) {
+            self.effects
+                .push(Effect::Log(format!("{name} was the last machine that served: nobody is left")));
+        }
+        ops::Verdict::Yes
+    }
+
     /// How long after SIGTERM there is time to answer.
     fn patience(&self) -> Millis {
         let longest = self.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
@@ -862,10 +947,9 @@
     }
 
     fn terminate(&mut self, now: Millis) {
-        if self.terminated.is_some() {
+        if !self.service.end(now) {
             return;
         }
-        self.terminated = Some(now);
         self.at(now + STILL_COMING_MS, Due::StopListening);
         self.at(now + self.patience(), Due::AnswerAll);
     }
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -75,10 +75,11 @@
 
     /// Looks for clients that are silent, deaf or gone, and for requests that should have been whole by now.
     pub(super) fn sweep(&mut self, now: Millis) {
-        let mut over = Vec::new();
+        let (mut over, empties) = (Vec::new(), self.reducer.closes_at_rest(now));
         for (key, (_, conn)) in &mut self.fronts {
             let before = conn.holding();
             match conn.standing(now) {
+                Standing::Good if empties && conn.at_rest() => over.push(*key),
                 Standing::Good => {}
                 Standing::Over => over.push(*key),
                 Standing::Late(late) => {
@@ -93,7 +94,10 @@
 
     pub(super) fn serve_front(&mut self, key: u64) {
         let over = self.read_front(key) || self.write_front(key);
-        if over || self.fronts.get(&key).is_some_and(|(_, conn)| conn.over()) {
+        // One that is never at rest for long is closed as its last answer has left.
+        let empties = self.reducer.closes_at_rest(self.now());
+        let done = |(_, conn): &(Sock, Conn)| conn.over() || (empties && conn.at_rest());
+        if over || self.fronts.get(&key).is_some_and(done) {
             self.close_front(key);
         }
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -3,6 +3,7 @@
 mod board;
 mod clients;
 mod machines;
+mod operators;
 mod plugins;
 mod socket;
 
@@ -45,6 +46,9 @@
     /// A dial that isn't a connection yet.
     Dial(DialKey),
     Board,
+    /// Operators first: they are answered however busy it is.
+    Caller(u64),
+    Callers,
     Front(u64),
     Listener,
 }
@@ -110,6 +114,10 @@
     plugin_ready: Option<calloop::channel::Sender<plugins::Ready>>,
     /// Where the latest views are written when they are asked for.
     record: Option<PathBuf>,
+    /// Where operators call, and who is calling.
+    ops_listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    callers: BTreeMap<u64, operators::Caller>,
+    next_caller: u64,
 }
 
 /// Serves until it is told to end.
@@ -135,6 +143,14 @@
     let listens = listener.local_addr().map_err(io("listen"))?;
     let token =
         register(&handle, listener.clone(), Source::Listener, Interest::READ).map_err(io("listen"))?;
+    let ops_listener = match config.ops {
+        None => None,
+        Some(address) => {
+            let listener = Rc::new(listen(address).map_err(io("listen for operators"))?);
+            let token = register(&handle, listener.clone(), Source::Callers, Interest::READ);
+            Some((listener, token.map_err(io("listen for operators"))?))
+        }
+    };
     let net = &config.net;
     let most = reducer.most_links();
     let links = Links::with_rules(
@@ -173,12 +189,16 @@
         plugin_turn: 0,
         plugin_ready: None,
         record: None,
+        ops_listener,
+        callers: BTreeMap::new(),
+        next_caller: 0,
     };
     let unix_ms = unix_ms();
     state.inbox.extend(config.known.into_iter().map(|notice| Input::Notice { notice, unix_ms }));
     state.record = operator.record;
     state.load_plugins(operator.plugins);
     state.work();
+    state.say_ops();
     say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
     while !state.over() {
         let wait = Duration::from_secs_f64((state.wake() - state.now()).clamp(0.0, IDLE_MS) / 1000.0);
@@ -244,7 +264,8 @@
                 Source::Dial(key) => self.dials.get_mut(&key).map(|(.., sock)| sock),
                 Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
                 Source::Board => self.board.as_mut().map(|(sock, _)| sock),
-                Source::Listener => None,
+                Source::Caller(key) => self.caller_sock(key),
+                Source::Listener | Source::Callers => None,
             };
             if let Some(sock) = sock {
                 sock.readable |= readiness.readable || readiness.error;
@@ -264,6 +285,7 @@
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_MS;
             self.sweep(now);
+            self.sweep_callers(now);
         }
         if self.follower.due <= self.now() {
             self.poll_board();
@@ -282,6 +304,8 @@
             Source::Front(key) => self.serve_front(key),
             Source::Board => self.serve_board(),
             Source::Listener => self.accept(),
+            Source::Caller(key) => self.serve_caller(key),
+            Source::Callers => self.accept_callers(),
         }));
         if served.is_err() {
             self.reducer.counters.panics += 1;
@@ -291,7 +315,8 @@
                 Source::Dial(key) => self.close_dial(key),
                 Source::Front(key) => self.close_front(key),
                 Source::Board => self.board_failed("panic"),
-                Source::Listener => {}
+                Source::Caller(key) => self.close_caller(key),
+                Source::Listener | Source::Callers => {}
             }
         }
         self.work();
@@ -343,8 +368,11 @@
                     self.link_down(key, "its machine has started anew");
                 }
             }
+            Effect::Verdict { caller, verdict } => self.answer_caller(caller, verdict),
             Effect::Log(text) => say!("{text}"),
             Effect::StopListening => {
+                // What the kernel has let in for this process is nobody else's: it is taken before the door closes.
+                self.accept();
                 if let Some((_, token)) = self.listener.take() {
                     self.handle.remove(token);
                 }
--- /dev/null
+++ b/src/runtime/operators.rs
@@ -0,0 +1,120 @@
+//! Operators' sockets: accepted, read, answered and let go. What a call means is the reducer's.
+
+use super::socket::{register, Io, Sock};
+use super::{Runtime, Source};
+use crate::ops::{self, Verdict, MAX_CALLERS, WHOLE_MS};
+use crate::reducer::Input;
+use crate::say;
+use calloop::Interest;
+use socket2::Socket;
+use std::rc::Rc;
+
+/// One caller.
+pub(super) struct Caller {
+    sock: Sock,
+    bytes: Vec<u8>,
+    out: Vec<u8>,
+    /// Its call is with the reducer, or answered.
+    asked: bool,
+    since: f64,
+}
+
+impl Runtime {
+    /// Takes operators' connections; where there are too many, the one that has waited longest goes.
+    pub(super) fn accept_callers(&mut self) {
+        loop {
+            let Some((listener, _)) = &self.ops_listener else { return };
+            let accepted = listener.accept().and_then(|(stream, _)| {
+                stream.set_nonblocking(true)?;
+                let stream = Rc::new(Socket::from(stream));
+                let source = Source::Caller(self.next_caller + 1);
+                let token = register(&self.handle, stream.clone(), source, Interest::BOTH)?;
+                Ok(Sock { stream, token, readable: true, writable: true })
+            });
+            let Ok(sock) = accepted else { return };
+            if self.callers.len() >= MAX_CALLERS {
+                if let Some(oldest) = self.callers.keys().next().copied() {
+                    self.close_caller(oldest);
+                }
+            }
+            self.next_caller += 1;
+            let caller = Caller { sock, bytes: Vec::new(), out: Vec::new(), asked: false, since: self.now() };
+            self.callers.insert(self.next_caller, caller);
+            self.dirty.insert(Source::Caller(self.next_caller));
+        }
+    }
+
+    pub(super) fn caller_sock(&mut self, key: u64) -> Option<&mut Sock> {
+        self.callers.get_mut(&key).map(|caller| &mut caller.sock)
+    }
+
+    /// Reads a call and writes its answer.
+    pub(super) fn serve_caller(&mut self, key: u64) {
+        let Some(caller) = self.callers.get_mut(&key) else { return };
+        while caller.sock.readable && !caller.asked {
+            match caller.sock.read(&mut self.buffer[..ops::MAX_CALL]) {
+                Ok(bytes) => caller.bytes.extend_from_slice(&self.buffer[..bytes]),
+                Err(Io::Over(_)) => return self.close_caller(key),
+                Err(_) => break,
+            }
+            match ops::read(&caller.bytes) {
+                Ok(None) => {}
+                Ok(Some(call)) => {
+                    caller.asked = true;
+                    let unix_ms = super::unix_ms();
+                    self.inbox.push(Input::Operator { caller: key, call, unix_ms });
+                }
+                Err(refusal) => {
+                    caller.asked = true;
+                    caller.out = ops::answer(Err(refusal));
+                }
+            }
+        }
+        self.write_caller(key);
+    }
+
+    /// The reducer has its verdict.
+    pub(super) fn answer_caller(&mut self, key: u64, verdict: Verdict) {
+        if let Some(caller) = self.callers.get_mut(&key) {
+            caller.out = ops::answer(Ok(verdict));
+            self.write_caller(key);
+        }
+    }
+
+    fn write_caller(&mut self, key: u64) {
+        let Some(caller) = self.callers.get_mut(&key) else { return };
+        while !caller.out.is_empty() && caller.sock.writable {
+            match caller.sock.write(&caller.out) {
+                Ok(bytes) => {
+                    caller.out.drain(..bytes);
+                    if caller.out.is_empty() {
+                        return self.close_caller(key);
+                    }
+                }
+                Err(Io::Over(_)) => return self.close_caller(key),
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Lets go of callers that finish no call.
+    pub(super) fn sweep_callers(&mut self, now: f64) {
+        let late = self.callers.iter().filter(|(_, caller)| now - caller.since > 2.0 * WHOLE_MS);
+        let late: Vec<u64> = late.map(|(key, _)| *key).collect();
+        late.into_iter().for_each(|key| self.close_caller(key));
+    }
+
+    pub(super) fn close_caller(&mut self, key: u64) {
+        if let Some(caller) = self.callers.remove(&key) {
+            self.handle.remove(caller.sock.token);
+        }
+    }
+
+    /// Where operators call is told in one line.
+    pub(super) fn say_ops(&self) {
+        if let Some(address) = self.ops_listener.as_ref().and_then(|(listener, _)| listener.local_addr().ok())
+        {
+            say!("operators call at {address}");
+        }
+    }
+}
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -53,6 +53,7 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.set_reuse_address(true)?; // Connections from before a restart may still be closing.
+    socket.set_reuse_port(true)?; // A new version starts while the old one still serves.
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
--- /dev/null
+++ b/src/service/mod.rs
@@ -0,0 +1,93 @@
+//! A router's service as one pure state machine: what it owes to clients and operators in each state.
+//!
+//! Owns the state; sockets, requests and machines are others'. Each input gives the next state, and what follows
+//! (whether it is ready, whether a connection at rest may be closed) is read off it.
+//!
+//! | state | `/alive`, `/api/ready` | new connections | connections at rest |
+//! | --- | --- | --- | --- |
+//! | starting, no machine known | no | taken | kept |
+//! | serving | yes | taken | kept |
+//! | evacuating | no | taken: they come until the front has heard of it | closed after a moment |
+//! | ending | no | taken for a while, then not | kept until the end |
+
+use crate::api::Millis;
+
+/// The front has heard a no by then, and clients bring nothing new: what is at rest may be closed.
+const HEARD_MS: Millis = 500.0;
+
+/// Where a router stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Service {
+    /// It takes clients.
+    #[default]
+    Serving,
+    /// Operators have it emptied, since then.
+    Evacuating(Millis),
+    /// It was told to end, at that time.
+    Ending(Millis),
+}
+
+impl Service {
+    /// Operators have it emptied. Asked twice, the first time counts; one that ends goes on to end.
+    pub fn evacuate(&mut self, now: Millis) {
+        if *self == Self::Serving {
+            *self = Self::Evacuating(now);
+        }
+    }
+
+    /// It takes clients again; false if it ends and can't.
+    pub fn rejoin(&mut self) -> bool {
+        if let Self::Ending(_) = self {
+            return false;
+        }
+        *self = Self::Serving;
+        true
+    }
+
+    /// It is told to end; false if it was before.
+    pub fn end(&mut self, now: Millis) -> bool {
+        let first = self.ending().is_none();
+        if first {
+            *self = Self::Ending(now);
+        }
+        first
+    }
+
+    /// Since when it ends.
+    pub fn ending(&self) -> Option<Millis> {
+        match self {
+            Self::Ending(at) => Some(*at),
+            _ => None,
+        }
+    }
+
+    /// Whether clients are wanted, as far as it is this state's to say.
+    pub fn takes_clients(&self) -> bool {
+        *self == Self::Serving
+    }
+
+    /// Whether a client's connection with nothing open may be closed now.
+    pub fn closes_at_rest(&self, now: Millis) -> bool {
+        matches!(self, Self::Evacuating(since) if now - since >= HEARD_MS)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_state_is_left_as_it_should_be_and_an_end_is_final() {
+        let mut service = Service::default();
+        assert!(service.takes_clients() && !service.closes_at_rest(1e9));
+        service.evacuate(10.0);
+        service.evacuate(400.0);
+        assert!(!service.takes_clients() && !service.closes_at_rest(509.0) && service.closes_at_rest(510.0));
+        assert!(service.rejoin() && service.takes_clients());
+        service.evacuate(1000.0);
+        assert!(service.end(1100.0) && !service.end(1200.0));
+        assert_eq!((service.ending(), service.closes_at_rest(1e9)), (Some(1100.0), false));
+        service.evacuate(1300.0);
+        assert!(!service.rejoin() && service.ending() == Some(1100.0));
+    }
+}
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -323,3 +323,99 @@
     served.line("plug-ins taken: p");
     served.end();
 }
+
+/// One call to where operators call; the answer's status.
+fn call(address: &str, method: &str, path: &str, body: &str) -> u16 {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    let length = body.len();
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
+        .expect("written");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer, and a close");
+    text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
+/// Starts one with a place for operators' calls; that place.
+fn start_with_ops(test: &str, machine: &str, listen: &str) -> (Served, String) {
+    let path = config(test, machine, "127.0.0.1:1");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn"))
+        .env("PROXY_CONFIG", path)
+        .env("PROXY_LISTEN", listen)
+        .env("PROXY_OPS", "127.0.0.1:0")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let mut after = |words: &str| {
+        let mut line = String::new();
+        while !line.contains(words) {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("a log") > 0, "it ended early");
+        }
+        line.split(words).nth(1).unwrap_or_default().split([',', '\n']).next().unwrap_or_default().to_owned()
+    };
+    let ops = after("operators call at ");
+    let address = after("listens on ");
+    (Served { child, log, address }, ops)
+}
+
+#[test]
+fn operators_take_a_machine_out_and_back_and_empty_the_router() {
+    let (served, ops) = start_with_ops("ops", &machine(|_| "DONE"), "127.0.0.1:0");
+    // Callers that say nothing hold nothing up.
+    let _silent: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(&ops).expect("it listens")).collect();
+    let mut stream = TcpStream::connect(&served.address).expect("it listens");
+    let mut at = 0;
+    let mut status = |stream: &mut TcpStream| {
+        at += 1;
+        ask(stream, at, "/ops/page", &format!("{at:016x}"));
+        answer(stream, at)[..11].to_owned()
+    };
+    assert_eq!((call(&ops, "GET", "/api/ready", ""), status(&mut stream)), (200, "Status: 200".into()));
+    assert_eq!(call(&ops, "POST", "/api/exclude", "s-unknown"), 404);
+    // Out twice, and back once.
+    assert_eq!(
+        (call(&ops, "POST", "/api/exclude", "s-1"), call(&ops, "POST", "/api/exclude", "s-1")),
+        (200, 200)
+    );
+    assert_ne!(status(&mut stream), "Status: 200", "nothing more goes there");
+    assert_eq!(call(&ops, "GET", "/api/ready", ""), 503, "nobody is left to serve");
+    assert_eq!(call(&ops, "POST", "/api/include", "s-1"), 200);
+    assert_eq!((call(&ops, "GET", "/api/ready", ""), status(&mut stream)), (200, "Status: 200".into()));
+    // Emptied: it says no, finishes, closes what is at rest, and goes on.
+    assert_eq!((call(&ops, "POST", "/api/evacuate", ""), call(&ops, "GET", "/api/ready", "")), (200, 503));
+    assert_eq!(stream.read(&mut [0; 9]).unwrap_or(0), 0, "a connection at rest is closed");
+    assert_eq!((call(&ops, "POST", "/api/rejoin", ""), call(&ops, "GET", "/api/ready", "")), (200, 200));
+    let mut stream = TcpStream::connect(&served.address).expect("it listens still");
+    assert_eq!(status(&mut stream), "Status: 200");
+    assert_eq!(call(&ops, "PUT", "/api/rejoin", ""), 405);
+    served.end();
+}
+
+#[test]
+fn a_new_version_starts_beside_the_old_one_and_takes_over() {
+    let box_ = machine(|_| "DONE");
+    let (old, old_ops) = start_with_ops("old", &box_, "127.0.0.1:0");
+    let (new, new_ops) = start_with_ops("new", &box_, &old.address);
+    assert_eq!(new.address, old.address);
+    assert_eq!(
+        (call(&old_ops, "GET", "/api/ready", ""), call(&new_ops, "GET", "/api/ready", "")),
+        (200, 200)
+    );
+    // Connections that are open when the old one is told to end are served by whoever took them.
+    let mut streams: Vec<TcpStream> =
+        (0..16).map(|_| TcpStream::connect(&new.address).expect("one of them listens")).collect();
+    old.signal("-TERM");
+    for (at, stream) in (1..).zip(&mut streams) {
+        ask(stream, 1, "/ops/page", &format!("{at:016x}"));
+        assert!(answer(stream, 1).starts_with("Status: 200 "));
+    }
+    let log = old.end();
+    assert!(log.contains(" ends; counters"), "{log}");
+    for at in 0..16 {
+        let mut stream = TcpStream::connect(&new.address).expect("the new one listens");
+        ask(&mut stream, 1, "/ops/page", &format!("{:016x}", 0x100 + at));
+        assert!(answer(&mut stream, 1).starts_with("Status: 200 "));
+    }
+    new.end();
+}
