Hand exclusions over to the next process by a checksummed file

Need: an exclusion that was answered with yes holds across an upgrade, and a call to either of two processes in both.

Change: src/handover has the form (postcard, xxHash, version, length, whose, when), pure; runtime/handover writes it whole to a new name below $TMPDIR and renames it before the operator hears yes, reads it before the first word and every 250 ms.

Ruled out: a socket between the processes, as either may die at any step.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod counters;
 pub mod fastcgi;
 pub mod front;
+pub mod handover;
 pub mod log;
 pub mod operator;
 pub mod ops;
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -201,6 +201,13 @@
     Due,
     /// The operators want it to end.
     Terminate,
+    /// Another process of this router has saved what operators have taken out.
+    HandedOver {
+        /// Those machines.
+        excluded: Vec<String>,
+        /// The Unix time now.
+        unix_ms: Millis,
+    },
     /// An operator calls.
     Operator {
         /// Who.
@@ -278,6 +285,8 @@
         /// When it started.
         at: Millis,
     },
+    /// Save what the next process must know, before the operator hears yes.
+    Save,
     /// Answer an operator.
     Verdict {
         /// Whom.
@@ -513,6 +522,7 @@
             Input::Notice { notice, unix_ms } => self.notice(now, notice, unix_ms),
             Input::Due => {}
             Input::Terminate => self.terminate(now),
+            Input::HandedOver { excluded, unix_ms } => self.handed_over(now, &excluded, unix_ms),
             Input::Operator { caller, call, unix_ms } => self.operator(now, caller, call, unix_ms),
         }
         self.settle(now);
@@ -895,9 +905,28 @@
         self.service.closes_at_rest(now)
     }
 
+    /// Machines that operators have taken out.
+    pub fn excluded(&self) -> Vec<String> {
+        self.excluded.iter().map(CacheId::to_string).collect()
+    }
+
+    /// Another process has heard operators: what it has out is out here, and what it has back is back.
+    fn handed_over(&mut self, now: Millis, excluded: &[String], unix_ms: Millis) {
+        for name in self.excluded().into_iter().filter(|name| !excluded.contains(name)) {
+            self.exclude(now, &name, false, unix_ms);
+        }
+        for name in excluded {
+            // The board may not have spoken of it here yet.
+            if self.exclude(now, name, true, unix_ms) == ops::Verdict::Unknown {
+                self.excluded.insert(CacheId::from(name.as_str()));
+            }
+        }
+    }
+
     /// Does what an operator asks for.
     fn operator(&mut self, now: Millis, caller: u64, call: ops::Call, unix_ms: Millis) {
         let yes = |yes| if yes { ops::Verdict::Yes } else { ops::Verdict::No };
+        let changes = matches!(call, ops::Call::Exclude(_) | ops::Call::Include(_));
         let verdict = match call {
             ops::Call::Ready => yes(self.ready()),
             ops::Call::Evacuate => {
@@ -908,6 +937,9 @@
             ops::Call::Exclude(name) => self.exclude(now, &name, true, unix_ms),
             ops::Call::Include(name) => self.exclude(now, &name, false, unix_ms),
         };
+        if verdict == ops::Verdict::Yes && changes {
+            self.effects.push(Effect::Save);
+        }
         self.effects.push(Effect::Verdict { caller, verdict });
     }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 
 mod board;
 mod clients;
+mod handover;
 mod machines;
 mod operators;
 mod plugins;
@@ -118,6 +119,8 @@
     ops_listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     callers: BTreeMap<u64, operators::Caller>,
     next_caller: u64,
+    /// The file for the next process, where operators can call.
+    handover: Option<handover::Handover>,
 }
 
 /// Serves until it is told to end.
@@ -192,11 +195,13 @@
         ops_listener,
         callers: BTreeMap::new(),
         next_caller: 0,
+        handover: config.ops.map(|_| handover::Handover::new(listens.to_string())),
     };
     let unix_ms = unix_ms();
     state.inbox.extend(config.known.into_iter().map(|notice| Input::Notice { notice, unix_ms }));
     state.record = operator.record;
     state.load_plugins(operator.plugins);
+    state.take_state();
     state.work();
     state.say_ops();
     say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
@@ -286,6 +291,7 @@
             self.sweep_at = now + SWEEP_MS;
             self.sweep(now);
             self.sweep_callers(now);
+            self.take_state();
         }
         if self.follower.due <= self.now() {
             self.poll_board();
@@ -368,6 +374,7 @@
                     self.link_down(key, "its machine has started anew");
                 }
             }
+            Effect::Save => self.save_state(),
             Effect::Verdict { caller, verdict } => self.answer_caller(caller, verdict),
             Effect::Log(text) => say!("{text}"),
             Effect::StopListening => {
