--- a/src/operator/form.rs
+++ b/src/operator/form.rs
@@ -271,45 +271,43 @@
 
     /// A time with its unit, within bounds in milliseconds.
     pub fn millis(&mut self, node: &Node, least: Millis, most: Millis) -> Option<Millis> {
-        let ms = match &node.form {
-            Form::Quantity(value, unit) => match unit.as_str() {
-                "ms" => Some(*value),
-                "s" => Some(value * 1e3),
-                "m" => Some(value * 6e4),
-                _ => None,
-            },
-            _ => None,
-        };
-        let Some(ms) = ms.filter(|ms| ms.is_finite()) else {
-            self.fault(node.at, "a time with its unit is wanted, as 80ms, 2s or 5m");
-            return None;
-        };
-        if ms < least || ms > most {
-            self.fault(node.at, format!("must lie between {least}ms and {most}ms"));
-            return None;
-        }
-        Some(ms)
+        let units = [("ms", 1.0), ("s", 1e3), ("m", 6e4)];
+        let wanted = "a time with its unit is wanted, as 80ms, 2s or 5m";
+        self.measure(node, &units, wanted, least, most, |ms| format!("{ms}ms"))
     }
 
     /// A size with its unit, within bounds in bytes.
     pub fn bytes(&mut self, node: &Node, least: f64, most: f64) -> Option<usize> {
-        let bytes = match &node.form {
-            Form::Quantity(value, unit) => match unit.as_str() {
-                "kb" => Some(value * 1024.0),
-                "mb" => Some(value * 1024.0 * 1024.0),
-                _ => None,
-            },
+        let units = [("kb", 1024.0), ("mb", 1024.0 * 1024.0)];
+        let wanted = "a size with its unit is wanted, as 64kb or 1mb";
+        let shown = |bytes: f64| format!("{}kb", bytes / 1024.0);
+        self.measure(node, &units, wanted, least, most, shown).map(|bytes| bytes as usize)
+    }
+
+    fn measure(
+        &mut self,
+        node: &Node,
+        units: &[(&str, f64)],
+        wanted: &str,
+        least: f64,
+        most: f64,
+        shown: impl Fn(f64) -> String,
+    ) -> Option<f64> {
+        let found = match &node.form {
+            Form::Quantity(value, unit) => {
+                units.iter().find(|(known, _)| known == unit).map(|(_, by)| value * by)
+            }
             _ => None,
         };
-        let Some(bytes) = bytes.filter(|bytes| bytes.is_finite()) else {
-            self.fault(node.at, "a size with its unit is wanted, as 64kb or 1mb");
+        let Some(found) = found.filter(|found| found.is_finite()) else {
+            self.fault(node.at, wanted);
             return None;
         };
-        if bytes < least || bytes > most {
-            self.fault(node.at, format!("must lie between {}kb and {}kb", least / 1024.0, most / 1024.0));
+        if found < least || found > most {
+            self.fault(node.at, format!("must lie between {} and {}", shown(least), shown(most)));
             return None;
         }
-        Some(bytes as usize)
+        Some(found)
     }
 
     /// A whole number without a unit, within bounds.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)] // Each test file uses its part.
 
 use frostturn::api::*;
+use frostturn::board::Listed;
+use frostturn::config::Net;
 use frostturn::Router;
 
 /// Clocks start anywhere.
@@ -218,3 +220,22 @@
 pub fn failed(actions: &[Action]) -> bool {
     matches!(actions, [Action::Fail { .. }])
 }
+
+/// A machine as the board lists it.
+pub fn listed(name: &str, kind: &str, phase: Phase) -> Listed {
+    Listed {
+        name: name.into(),
+        address: ([127, 0, 0, 1], 7000).into(),
+        zone: "east".into(),
+        kind: kind.into(),
+        cell: 0,
+        weight: 100.0,
+        phase,
+        since_unix_ms: None,
+    }
+}
+
+/// The network side's limits, wide enough for all that tests do.
+pub fn net() -> Net {
+    Net { dial_timeout_ms: 400.0, idle_ms: 3e4, streams: 32, max_open: 4096, memory: 1 << 28, sockets: 1024 }
+}
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::listed;
 use frostturn::api::Phase;
-use frostturn::board::{Listed, Notice, Word};
-use frostturn::config::Net;
+use frostturn::board::{Notice, Word};
 use frostturn::ops::{Call, Verdict};
 use frostturn::reducer::{Ask, Client, Effect, Input, Reducer};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -12,17 +12,11 @@
 
 const NAMES: [&str; 3] = ["e0", "e1", "e2"];
 
-fn listed(name: &str, phase: Phase) -> Listed {
-    let kind = if name == "o0" { "origin" } else { "edge" };
-    Listed {
-        name: name.into(),
-        address: ([127, 0, 0, 1], 7000).into(),
-        zone: "east".into(),
-        kind: kind.into(),
-        cell: 0,
-        weight: 100.0,
-        phase,
-        since_unix_ms: None,
+fn kind(name: &str) -> &'static str {
+    if name == "o0" {
+        "origin"
+    } else {
+        "edge"
     }
 }
 
@@ -53,20 +47,18 @@
 #[test]
 fn what_an_operator_has_taken_out_gets_nothing_whatever_the_board_says() {
     fn property(steps: Vec<Step>) -> bool {
-        let net = Net {
-            dial_timeout_ms: 400.0,
-            idle_ms: 3e4,
-            streams: 32,
-            max_open: 4096,
-            memory: 1 << 28,
-            sockets: 1024,
-        };
+        let net = common::net();
         let mut reducer = Reducer::new(common::settings(), net, 7, 0.0, 1e12);
         let (mut now, mut serial) = (0.0, 0);
         // The model: what was answered with yes, and what the board has as known.
         let (mut out, mut known) = (BTreeSet::new(), BTreeSet::from(NAMES));
-        let whole =
-            || NAMES.iter().chain(&["o0"]).map(|name| listed(name, Phase::Serving)).collect::<Vec<_>>();
+        let whole = || {
+            NAMES
+                .iter()
+                .chain(&["o0"])
+                .map(|name| listed(name, kind(name), Phase::Serving))
+                .collect::<Vec<_>>()
+        };
         let board = |machines, whole| Notice { rev: 1, word: Some(Word::Pool { whole, machines }) };
         reducer.step(now, Input::Notice { notice: board(whole(), true), unix_ms: 1e12 });
         for step in steps {
@@ -80,7 +72,10 @@
                     };
                     reducer.step(
                         now,
-                        Input::Notice { notice: board(vec![listed(NAMES[at], phase)], false), unix_ms },
+                        Input::Notice {
+                            notice: board(vec![listed(NAMES[at], "edge", phase)], false),
+                            unix_ms,
+                        },
                     )
                 }
                 Step::Whole => {
--- a/tests/plugins.rs
+++ b/tests/plugins.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::listed;
 use frostturn::api::{CacheId, ClassSettings, Keep, Limits, Phase, Repeat, Settings};
 use frostturn::board::{Listed, Notice, Word};
-use frostturn::config::Net;
 use frostturn::plugins::engine::{Fault, Hook, Instance};
 use frostturn::plugins::guard::{self, Allowed};
 use frostturn::plugins::{Loaded, Spec};
@@ -237,14 +237,7 @@
 impl Rig {
     fn new(plugins: &[(&str, String)], may_refuse: &[&str]) -> Self {
         let settings: Settings = common::settings();
-        let net = Net {
-            dial_timeout_ms: 400.0,
-            idle_ms: 3e4,
-            streams: 32,
-            max_open: 4096,
-            memory: 1 << 28,
-            sockets: 1024,
-        };
+        let net = common::net();
         let mut reducer = Reducer::new(settings, net, 7, 0.0, 1e12);
         let loaded = plugins.iter().map(|(name, text)| {
             let may_refuse = may_refuse.iter().map(|class| (*class).to_owned()).collect();
@@ -320,19 +313,6 @@
     }
 }
 
-fn listed(name: &str, kind: &str, phase: Phase) -> Listed {
-    Listed {
-        name: name.into(),
-        address: ([127, 0, 0, 1], 7000).into(),
-        zone: "east".into(),
-        kind: kind.into(),
-        cell: 0,
-        weight: 100.0,
-        phase,
-        since_unix_ms: None,
-    }
-}
-
 fn done() -> End {
     End::Answer(Answer {
         outcome: frostturn::api::Outcome::Ok,
