--- a/crates/frostturn-lab/src/daemon.rs
+++ b/crates/frostturn-lab/src/daemon.rs
@@ -28,6 +28,9 @@
     pub known: Value,
     /// Draws its random choices.
     pub seed: u64,
+    /// Its name, and how many routers the settings tell it of.
+    pub name: &'a str,
+    pub instances: usize,
     /// It is one of several that listen at the same place, and operators can call it.
     pub beside: Option<Beside>,
 }
@@ -67,15 +70,22 @@
             None => (([127, 0, 0, 1], 0).into(), String::new()),
         };
         let config = json!({
-            "name": "lab", "listen": listen.to_string(), "seed": format!("{:x}", how.seed), "board": how.board.to_string(),
-            "limits": { "cores": 1.0, "memory_mb": 32, "sockets": 1024 }, "known": how.known, "settings": settings(),
+            "name": how.name, "listen": listen.to_string(), "seed": format!("{:x}", how.seed), "board": how.board.to_string(),
+            "limits": { "cores": 1.0, "memory_mb": 32, "sockets": 1024 }, "known": how.known, "settings": settings(how.instances),
         });
         let (path, log) =
             (how.dir.join(format!("config{number}.json")), how.dir.join(format!("daemon{number}.log")));
         std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
         let file = File::create(&log).map_err(|e| format!("{}: {e}", log.display()))?;
         let mut command = match how.program {
-            Some(program) => Command::new(program),
+            Some(program) => {
+                let mut command = Command::new(program);
+                // The laboratory's own program is the daemon by a word.
+                if program.file_stem().is_some_and(|name| name == "frostturn-lab") {
+                    command.arg("daemon");
+                }
+                command
+            }
             None => {
                 let own = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
                 let mut command = Command::new(own);
@@ -97,7 +107,7 @@
     }
 
     /// Waits until it is ready: by its operators' place, where it has one of its own.
-    fn until_ready(&mut self, called: bool) -> Result<(), String> {
+    pub fn until_ready(&mut self, called: bool) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(10);
         loop {
             let text = std::fs::read_to_string(&self.log).unwrap_or_default();
@@ -128,6 +138,22 @@
         Pid::from_raw(self.child.id() as i32)
     }
 
+    /// Stops it, as a machine does that pages or is paused, and lets it go on.
+    pub fn stop(&self) {
+        self.pid().map(|pid| kill_process(pid, Signal::STOP));
+    }
+
+    /// See [`stop`](Self::stop).
+    pub fn resume(&self) {
+        self.pid().map(|pid| kill_process(pid, Signal::CONT));
+    }
+
+    /// Ends it at once, as a crash does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill(); // It may have ended by itself.
+        let _ = self.child.wait();
+    }
+
     /// Has it read its files again.
     pub fn reload(&self) {
         self.pid().map(|pid| kill_process(pid, Signal::HUP));
@@ -194,19 +220,19 @@
 }
 
 /// The module's settings for the small site.
-fn settings() -> Value {
+fn settings(instances: usize) -> Value {
     let class = |name: &str, aim: f64, deadline: f64, worth: f64, repeat: &str| {
         json!({ "Name": name, "AimMs": aim, "AimStretch": 1.0, "HardLimitMs": deadline, "Repeat": repeat,
             "Worth": worth, "LateWorth": 0.2 })
     };
     json!({
-        "Az": "east", "Localities": ["east"], "MachineTypes": ["std", "upper", "core"], "Instances": 1,
+        "Az": "east", "Localities": ["east"], "MachineTypes": ["std", "upper", "core"], "Instances": instances,
         "Discovery": "push", "Weights": "nominal", "Stats": { "Source": "piggyback" },
         "Limits": { "MostTries": 4, "Cancelling": true, "Probes": false, "RetryAfter": true, "MaxRetryAfterMs": 5000,
             "SecondCopies": true, "DialTimeoutMs": 400, "ConnIdleMs": 2500, "StreamsPerConn": 32, "MaxOpen": 4096 },
         "Guarantees": { "GraceToAnswerMs": 0, "StopSendingWithinMs": 1000, "ColdFrom": 0.25, "ColdMs": 4000,
             "FallMultiple": 3.0, "OverloadForMs": 1000 },
-        "FamilyInfo": { "InstancesByZone": [1], "ZoneHub": [0], "LinkInKbPerS": [0.0], "SecondTierKind": 1,
+        "FamilyInfo": { "InstancesByZone": [instances], "ZoneHub": [0], "LinkInKbPerS": [0.0], "SecondTierKind": 1,
             "MasterKind": 2, "BypassAllowed": false, "Joins": true, "Detail": "all", "Sideways": "none",
             "OneFlowKbPerS": 10000, "ParentColdFrom": 0.25, "UpperColdMs": 4000, "UpperFallMultiple": 3.0,
             "NoticeTimeMs": 1000, "GoneEverywhereMs": 6000, "GoodForMs": [20000, 20000, 0],
--- /dev/null
+++ b/crates/frostturn-lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! The laboratory's parts: stand-ins, load, faults between processes, and the checkers that watch them from outside.
+
+#![forbid(unsafe_code)]
+
+pub mod board;
+pub mod check;
+pub mod clients;
+pub mod daemon;
+pub mod hostile;
+pub mod machines;
+pub mod relay;
+pub mod report;
+pub mod rig;
+pub mod scenarios;
+pub mod site;
+pub mod world;
--- a/crates/frostturn-lab/src/main.rs
+++ b/crates/frostturn-lab/src/main.rs
@@ -2,19 +2,8 @@
 
 #![forbid(unsafe_code)]
 
-mod board;
-mod check;
-mod clients;
-mod daemon;
-mod hostile;
-mod machines;
-mod report;
-mod scenarios;
-mod site;
-mod world;
-
 use clap::{Args, Parser, Subcommand};
-use scenarios::{Options, Scenario, ALL};
+use frostturn_lab::scenarios::{Options, Scenario, ALL};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/frostturn-lab/src/rig.rs
@@ -0,0 +1,191 @@
+//! Several real routers, a relay on every link between them, and what can be done to each.
+
+use crate::daemon::{call, Beside, Daemon, Start};
+use crate::relay::{Link, Relays};
+use crate::site::Site;
+use frostturn::fleet::View;
+use frostturn::ops::control::Answer;
+use frostturn::ops::Call;
+use std::fmt::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A test that waits for a state gives up after this: no bound on how fast it is, only on how long the test may hang.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One router of the fleet.
+#[derive(Debug)]
+pub struct Slot {
+    /// Its name.
+    pub name: String,
+    /// Its process, if one runs.
+    pub process: Option<Daemon>,
+    /// Where it hears the others.
+    pub listen: SocketAddr,
+    operator: PathBuf,
+    /// Logs of all its processes so far.
+    pub logs: Vec<PathBuf>,
+}
+
+/// A fleet.
+#[derive(Debug)]
+pub struct Rig {
+    /// Boxes, parent, origin and board.
+    pub site: Site,
+    /// The links.
+    pub relays: Relays,
+    /// The routers.
+    pub slots: Vec<Slot>,
+    program: Option<PathBuf>,
+    seed: u64,
+}
+
+impl Rig {
+    /// A site of `boxes` boxes and a fleet of `routers` routers, none of which runs yet. `times`: forms that stand in
+    /// each operator's file beside the peers.
+    pub fn new(
+        boxes: usize,
+        routers: usize,
+        times: &str,
+        program: Option<PathBuf>,
+        seed: u64,
+    ) -> Result<Self, String> {
+        let io = |e: std::io::Error| format!("the fleet's links: {e}");
+        let site = Site::start(boxes, false)?;
+        // Ports that are free: held until all are known, so that no two are alike.
+        let held: Vec<UdpSocket> =
+            (0..routers).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>().map_err(io)?;
+        let listens: Vec<SocketAddr> =
+            held.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>().map_err(io)?;
+        let relays = Relays::start(&listens, seed).map_err(io)?;
+        drop(held);
+        let mut slots = Vec::new();
+        for (at, listen) in listens.into_iter().enumerate() {
+            let mut text = format!("(frostturn (fleet (name \"lab\") (listen \"{listen}\") {times}\n");
+            for other in 0..routers {
+                if let Some(way) = relays.way(at, other) {
+                    let _ = writeln!(text, "  (peer \"n{other}\" \"{way}\")"); // A String takes all that is written to it.
+                }
+            }
+            text.push_str("))\n");
+            let operator = site.dir.join(format!("fleet{at}.scm"));
+            std::fs::write(&operator, text).map_err(io)?;
+            slots.push(Slot { name: format!("n{at}"), process: None, listen, operator, logs: Vec::new() });
+        }
+        Ok(Self { site, relays, slots, program, seed })
+    }
+
+    /// Starts one router's process, or another one beside that which runs, which is given back. `fleet`: with its
+    /// operator's file.
+    pub fn spawn(&mut self, at: usize, fleet: bool, wait: bool) -> Result<Option<Daemon>, String> {
+        let instances = self.slots.len();
+        let slot = &mut self.slots[at];
+        let number = (at + 1) * 1000 + slot.logs.len();
+        let listen = slot.process.as_ref().map_or(([127, 0, 0, 1], 0).into(), |old| old.address);
+        let start = Start {
+            dir: &self.site.dir,
+            program: self.program.as_deref(),
+            operator: fleet.then_some(&*slot.operator),
+            board: self.site.board.address,
+            known: self.site.board.known(),
+            seed: self.seed.wrapping_add(number as u64),
+            name: &slot.name,
+            instances,
+            beside: Some(Beside { listen, number }),
+        };
+        let new = if wait { Daemon::start(&start)? } else { Daemon::spawn(&start)? };
+        slot.logs.push(new.log.clone());
+        Ok(slot.process.replace(new))
+    }
+
+    /// Starts all that don't run, and waits until they serve.
+    pub fn start_all(&mut self, fleet: bool) -> Result<(), String> {
+        for at in 0..self.slots.len() {
+            if self.slots[at].process.is_none() {
+                self.spawn(at, fleet, false)?;
+            }
+        }
+        self.slots
+            .iter_mut()
+            .filter_map(|slot| slot.process.as_mut())
+            .try_for_each(|one| one.until_ready(true))
+    }
+
+    /// Ends one at once.
+    pub fn kill(&mut self, at: usize) {
+        self.slots[at].process = None;
+    }
+
+    /// Stops one, or lets it go on.
+    pub fn pause(&self, at: usize, stops: bool) {
+        let Some(process) = &self.slots[at].process else { return };
+        if stops {
+            process.stop();
+        } else {
+            process.resume();
+        }
+    }
+
+    /// Sets the link of an ordered pair.
+    pub fn link(&self, from: usize, to: usize, link: Link) {
+        self.relays.links()[from][to] = link;
+    }
+
+    /// Sets all links for which `which` says so, from and to.
+    pub fn links(&self, link: Link, which: impl Fn(usize, usize) -> bool) {
+        let mut links = self.relays.links();
+        for (from, row) in links.iter_mut().enumerate() {
+            for (to, one) in row.iter_mut().enumerate().filter(|(to, _)| which(from, *to)) {
+                let _ = to;
+                *one = link;
+            }
+        }
+    }
+
+    /// What one says of the fleet; none: it doesn't answer, or another process speaks for it.
+    pub fn view(&self, at: usize) -> Option<View> {
+        let ops = self.slots[at].process.as_ref()?.ops?;
+        match call(ops, &Call::Fleet) {
+            Ok(Answer::Yes(text)) => serde_json::from_str(&text).ok(),
+            _ => None,
+        }
+    }
+
+    /// Waits until something is so; an error says what was waited for, and how all routers saw the fleet at the end.
+    pub fn until(&self, what: &str, so: impl Fn(&Self) -> bool) -> Result<(), String> {
+        let until = Instant::now() + PATIENCE;
+        while !so(self) {
+            if Instant::now() > until {
+                let mut shown = String::new();
+                for at in 0..self.slots.len() {
+                    let _ = write!(shown, "\n{at}: {:?}", self.view(at)); // As above.
+                }
+                return Err(format!("waited in vain until {what}{shown}"));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    /// Whether one has this standing.
+    pub fn stands(&self, at: usize, standing: &str) -> bool {
+        self.view(at).is_some_and(|view| view.me.standing == standing)
+    }
+
+    /// Whether `at` sees each of the others as it is told.
+    pub fn sees(&self, at: usize, others: &[usize], state: frostturn::fleet::State) -> bool {
+        let Some(view) = self.view(at) else { return false };
+        let named = |other: &&usize| {
+            view.members.iter().any(|m| m.name == self.slots[**other].name && m.state == state)
+        };
+        others.iter().filter(|other| **other != at).filter(named).count()
+            == others.iter().filter(|o| **o != at).count()
+    }
+
+    /// All lines that one's processes have written so far.
+    pub fn log(&self, at: usize) -> String {
+        self.slots[at].logs.iter().map(|log| std::fs::read_to_string(log).unwrap_or_default()).collect()
+    }
+}
--- a/crates/frostturn-lab/src/scenarios/service.rs
+++ b/crates/frostturn-lab/src/scenarios/service.rs
@@ -78,7 +78,8 @@
         let (known, seed) = (site.board.known(), options.seed + number as u64);
         let beside = Some(Beside { listen, number });
         let (dir, board) = (&*site.dir, site.board.address);
-        let start = Start { dir, program, operator: None, board, known, seed, beside };
+        let start =
+            Start { dir, program, operator: None, board, known, seed, name: "lab", instances: 1, beside };
         if spawn {
             Daemon::spawn(&start)
         } else {
--- a/crates/frostturn-lab/src/site.rs
+++ b/crates/frostturn-lab/src/site.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
 /// How a machine stands on the board.
@@ -49,8 +50,10 @@
     /// alone.
     pub fn start(count: usize, first_only: bool) -> Result<Self, String> {
         let io = |e: std::io::Error| format!("stand-ins: {e}");
-        let world = Arc::new(World::new());
-        let dir = std::env::temp_dir().join(format!("frostturn-lab-{}", std::process::id()));
+        let world = Arc::new(World::default());
+        static SITES: AtomicUsize = AtomicUsize::new(0);
+        let which = SITES.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("frostturn-lab-{}-{which}", std::process::id()));
         std::fs::create_dir_all(&dir).map_err(io)?;
         let mut boxes = Vec::new();
         for index in 0..count {
@@ -103,7 +106,17 @@
         let operator = (!plain).then_some(self.operator.as_path());
         let known = self.board.known();
         let board = self.board.address;
-        Daemon::start(&Start { dir: &self.dir, program, operator, board, known, seed, beside: None })
+        Daemon::start(&Start {
+            dir: &self.dir,
+            program,
+            operator,
+            board,
+            known,
+            seed,
+            name: "lab",
+            instances: 1,
+            beside: None,
+        })
     }
 
     /// Has the board tell how a box stands; `cold_for` from a start now.
--- a/crates/frostturn-lab/src/world.rs
+++ b/crates/frostturn-lab/src/world.rs
@@ -61,12 +61,14 @@
     over: AtomicBool,
 }
 
-impl World {
+impl Default for World {
     /// It begins now.
-    pub fn new() -> Self {
+    fn default() -> Self {
         Self { start: Instant::now(), seen: Mutex::default(), over: AtomicBool::new(false) }
     }
+}
 
+impl World {
     /// Milliseconds since it began.
     pub fn now(&self) -> Millis {
         self.start.elapsed().as_secs_f64() * 1e3
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 //! command line itself can't be understood.
 
 use crate::config::{Config, Sources};
+use crate::fleet::Fleet;
 use crate::log::Format;
 use crate::operator::{self, Operator};
 use crate::say;
@@ -104,7 +105,7 @@
             };
             serve_by(format, sources)
         }
-        Some(Command::Check { files }) => check(&files),
+        Some(Command::Check { files }) => check(&files, cli.name.as_deref()),
         Some(Command::Plugin { plugin }) => crate::cli_plugin::run(&plugin),
         Some(Command::Ctl { ctl }) => {
             let place =
@@ -158,7 +159,7 @@
 }
 
 /// Reports each file's faults on standard error and each good one on standard output.
-fn check(files: &[PathBuf]) -> ExitCode {
+fn check(files: &[PathBuf], name: Option<&str>) -> ExitCode {
     let mut good = true;
     for path in files {
         let shown = path.display();
@@ -168,7 +169,13 @@
                 Config::read(bytes, None, None).err().into_iter().collect()
             }
             Ok(bytes) => match Operator::read(&bytes) {
-                Ok(_) => Vec::new(),
+                // Whether it is among its own peers shows where the command line names this router.
+                Ok(operator) => match (name, operator.fleet) {
+                    (Some(name), Some(fleet)) => {
+                        Fleet::new(fleet, name, 1, 0.0, 0).err().into_iter().collect()
+                    }
+                    _ => Vec::new(),
+                },
                 Err(faults) => faults.0.iter().map(|fault| format!("{shown}:{fault}")).collect(),
             },
         };
--- a/src/cli_ctl.rs
+++ b/src/cli_ctl.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit codes: 0, yes; 1, no; 2, the command line can't be understood; 3, nobody answers; 4, it could not be done.
 
+use crate::fleet::View;
 use crate::ops::control::{self, Answer, Place, MAX_ANSWER};
 use crate::ops::Call;
 use clap::Subcommand;
@@ -35,6 +36,12 @@
     Rejoin,
     /// What it has done and holds, as JSON
     Status,
+    /// Who else routes here, and whether it is cut off
+    Fleet {
+        /// One JSON object instead of a table
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 impl Ctl {
@@ -46,6 +53,7 @@
             Self::Evacuate => Call::Evacuate,
             Self::Rejoin => Call::Rejoin,
             Self::Status => Call::Telemetry,
+            Self::Fleet { .. } => Call::Fleet,
         }
     }
 }
@@ -66,7 +74,10 @@
     let answer = ask(&place, &control::write(&ctl.call())).map_err(|e| e.to_string());
     match answer.and_then(|bytes| control::read(&bytes).map_err(str::to_owned)) {
         Ok(Answer::Yes(text)) => {
-            println!("{text}");
+            match ctl {
+                Ctl::Fleet { json: false } => println!("{}", fleet_table(&text).unwrap_or(text)),
+                _ => println!("{text}"),
+            }
             ExitCode::SUCCESS
         }
         Ok(Answer::No(text)) => {
@@ -84,6 +95,27 @@
     }
 }
 
+/// The picture of a fleet as a table, from its JSON; none: a later version's, which is shown as it is.
+fn fleet_table(json: &str) -> Option<String> {
+    let view: View = simd_json::from_slice(&mut json.as_bytes().to_vec()).ok()?;
+    let me = view.me;
+    let mut rows = vec![["router", "state", "path", "for", "why"].map(str::to_owned)];
+    for one in view.members {
+        let since = format!("{:.1} s", one.since_ms as f64 / 1e3);
+        rows.push([one.name, one.state.word().to_owned(), one.path.word().to_owned(), since, one.why]);
+    }
+    let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0);
+    let widths = [width(0), width(1), width(2), width(3)];
+    let mut out =
+        format!("{}: {}, term {}, {} of {} answer", me.name, me.standing, me.term, me.heard_by, me.of);
+    for row in &rows {
+        let cells: Vec<String> =
+            row.iter().zip(widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+        out.push_str(&format!("\n{}  {}", cells.join("  "), row[4]));
+    }
+    Some(out)
+}
+
 fn ask(place: &Place, call: &[u8]) -> io::Result<Vec<u8>> {
     match place {
         Place::Tcp(address) => {
--- /dev/null
+++ b/src/fleet/member.rs
@@ -0,0 +1,133 @@
+//! One other router as this one sees it.
+
+use super::settings::Id;
+use super::settings::PeerAt;
+use super::wire::{Row, Says};
+use crate::api::Millis;
+use serde::{Deserialize, Serialize};
+
+/// What another router is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Never heard since this router's start.
+    Joining,
+    /// Heard.
+    Alive,
+    /// Not heard for a while.
+    Suspect,
+    /// So many have given it up that it has no majority: it knew that before.
+    Gone,
+    /// It has said that it ends.
+    Left,
+}
+
+impl State {
+    /// The word that operators read.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Joining => "joining",
+            Self::Alive => "alive",
+            Self::Suspect => "suspect",
+            Self::Gone => "gone",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// By which way two routers hear each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Path {
+    /// Each hears the other's own datagrams.
+    Direct,
+    /// Through others only.
+    Relayed,
+    /// Only one of the two hears the other's own datagrams.
+    OneWay,
+    /// Not heard at all.
+    None,
+}
+
+impl Path {
+    /// The word that operators read.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Direct => "direct",
+            Self::Relayed => "relayed",
+            Self::OneWay => "one-way",
+            Self::None => "none",
+        }
+    }
+}
+
+/// Another router.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub at: PeerAt,
+    pub id: Id,
+    /// Its latest words; none: never heard.
+    pub row: Option<Row>,
+    /// When these were new at the router that first heard them, as far as can be told; moved on by this one's standstills, so
+    /// that it is never earlier than when they were said.
+    pub heard_at: Millis,
+    /// When its own datagrams last came, and the latest beat among them.
+    pub direct_at: Option<Millis>,
+    pub direct_beat: u32,
+    /// Terms that this router answers no more, and those it has given up for silence. Both only grow while it is one start.
+    pub refused: u32,
+    pub voted: u32,
+    /// Given up before it was ever heard.
+    pub unheard_voted: bool,
+    /// The term of the start that was called gone.
+    pub gone_term: Option<u32>,
+    pub state: State,
+    pub since: Millis,
+    pub why: String,
+    /// It is owed a datagram out of turn.
+    pub owed: bool,
+    /// When it was last sent to.
+    pub sent_at: Millis,
+}
+
+impl Member {
+    pub fn new(at: PeerAt, now: Millis) -> Self {
+        Self {
+            id: Id::of(&at.name),
+            at,
+            row: None,
+            heard_at: now,
+            direct_at: None,
+            direct_beat: 0,
+            refused: 0,
+            voted: 0,
+            unheard_voted: false,
+            gone_term: None,
+            state: State::Joining,
+            since: now,
+            why: "not heard yet".to_owned(),
+            owed: true,
+            sent_at: f64::NEG_INFINITY,
+        }
+    }
+
+    pub fn start(&self) -> u64 {
+        self.row.as_ref().map_or(0, |row| row.start)
+    }
+
+    pub fn term(&self) -> u32 {
+        self.row.as_ref().map_or(0, |row| row.term)
+    }
+
+    pub fn beat(&self) -> u32 {
+        self.row.as_ref().map_or(0, |row| row.beat)
+    }
+
+    pub fn says(&self) -> Says {
+        self.row.as_ref().map_or(Says::Joining, |row| row.says)
+    }
+
+    pub fn silent(&self, now: Millis) -> Millis {
+        (now - self.heard_at).max(0.0)
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,530 @@
+//! Who else routes here, who hears whom, and whether this router is cut off.
+//!
+//! Owns one [`Member`](State) a router of the operator's file, this router's own [`Ledger`](standing::Ledger), and its
+//! [`Patience`](patience::Patience): all bounded by [`MAX_ROUTERS`]. It never opens a socket, never reads a clock, never touches a
+//! request: time comes in as an argument, datagrams and events go out as values.
+//!
+//! **Holds at every instant**, whatever is lost, late, doubled, stalled, restarted or cut, while clocks run alike within
+//! [`DRIFT`](settings::DRIFT):
+//!
+//! - *Who is called gone knew before that it was cut off.* A router is called gone (`Fleet::verdict`) when `blocking` others have
+//!   given up its term for a silence of at least `refuse_ms` (`Fleet::judge`), which binds them: they answer that term never again
+//!   (`Heard::refused`; a start without memory refuses the first term that it meets, `Fleet::meet`). What they answered before was
+//!   sent before the silence, so it is older than `lease_ms` and counts no more (`Ledger::behind`). Whoever is left is no majority.
+//! - *No word about or from an earlier start counts* (`Fleet::accept`: starts only grow; `Heard::tag`).
+//! - *A term that has ended never comes back* (`Ledger::settle`).
+//!
+//! **Holds once faults end**: whoever is heard both ways by a majority, through any helper, has its standing and is alive at
+//! all others; whoever is dead is gone at all that have a majority.
+
+mod member;
+pub mod patience;
+pub mod settings;
+pub mod standing;
+mod view;
+pub mod wire;
+
+pub use member::{Path, State};
+pub use settings::{Id, PeerAt, Settings, MAX_ROUTERS};
+pub use view::{Me, Other, View};
+pub use wire::{Refused, Says};
+
+use crate::api::Millis;
+use member::Member;
+use patience::Patience;
+use standing::{Answer, Ledger, BEAT_MS};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use wire::{Heard, Row};
+
+/// Datagrams that one router sends in a second, at most, and at once.
+const SENDS_PER_S: f64 = 12.0;
+/// One turn of so many is for those who are not heard.
+const FAR_EVERY: u64 = 5;
+
+/// What there is to do or to tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// A datagram leaves.
+    Send {
+        /// Where it goes.
+        to: SocketAddr,
+        /// What it is.
+        bytes: Vec<u8>,
+    },
+    /// This router's standing has changed, or its term.
+    Standing {
+        /// What it is now.
+        says: Says,
+        /// Its term.
+        term: u32,
+        /// How long ago that began, in ms: after a standstill it is noticed late, but held from then on.
+        ago_ms: Millis,
+        /// How many answer it, itself among them, of how many.
+        heard_by: (usize, usize),
+    },
+    /// Another router's state has changed.
+    Changed {
+        /// Whose.
+        name: String,
+        /// Which start of it, and which term.
+        start: u64,
+        /// See [`Row::term`](wire::Row::term).
+        term: u32,
+        /// What it was, and is.
+        states: (State, State),
+        /// Why.
+        why: String,
+    },
+    /// This router's own timers have stood still for so long.
+    Stalled(Millis),
+    /// Another process goes or went by this router's name: its start is now this one.
+    Renamed(u64),
+}
+
+/// Datagrams that came and went.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Sent, and their bytes.
+    pub sent: u64,
+    /// See `sent`.
+    pub sent_bytes: u64,
+    /// Taken.
+    pub taken: u64,
+    /// Refused, by why.
+    pub refused: BTreeMap<Refused, u64>,
+}
+
+/// One router's picture of the fleet.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    set: Settings,
+    name: String,
+    id: Id,
+    start: u64,
+    born: Millis,
+    ledger: Ledger,
+    /// What was last told of its standing.
+    says: (Says, u32),
+    patience: Patience,
+    members: Vec<Member>,
+    index: BTreeMap<Id, usize>,
+    /// Whose turn is next: among those whose datagrams come, and among the rest.
+    next: [usize; 2],
+    turns: u64,
+    turn_at: Millis,
+    tokens: f64,
+    tokens_at: Millis,
+    leaves: bool,
+    effects: Vec<Effect>,
+    counts: Counts,
+}
+
+impl Fleet {
+    /// One that begins now: `start` is greater than that of any earlier one of this name, as far as is known; the clock is
+    /// steady and counts sleep (CLOCK_BOOTTIME). An error names the one of the peers that can't be.
+    pub fn new(set: Settings, name: &str, start: u64, now: Millis, seed: u64) -> Result<Self, String> {
+        let id = Id::of(name);
+        let members: Vec<Member> = set.peers.iter().map(|at| Member::new(at.clone(), now)).collect();
+        let index: BTreeMap<Id, usize> = members.iter().enumerate().map(|(at, one)| (one.id, at)).collect();
+        if set.peers.iter().any(|peer| peer.name == name) {
+            return Err(format!("{name} is among its own peers"));
+        }
+        if index.contains_key(&id) || index.len() < members.len() {
+            return Err(format!(
+                "the fleet has two names that datagrams can't tell apart; {name} is one, or two peers"
+            ));
+        }
+        Ok(Self {
+            ledger: Ledger::new(members.len(), set.majority(), set.lease_ms()),
+            patience: Patience::new(set.turn_ms(), set.period_ms, now),
+            name: name.to_owned(),
+            id,
+            start: start.max(1),
+            born: now,
+            says: (Says::Joining, 0),
+            next: [seed as usize % members.len().max(1); 2],
+            turns: 0,
+            members,
+            index,
+            turn_at: now,
+            tokens: SENDS_PER_S,
+            tokens_at: now,
+            leaves: false,
+            effects: Vec::new(),
+            counts: Counts::default(),
+            set,
+        })
+    }
+
+    /// What the file says.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// When the next turn is due.
+    pub fn next_due(&self) -> Millis {
+        self.turn_at
+    }
+
+    /// What has come and gone.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// This start, as it is now known to others.
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
+    /// What this router can say of itself at this very moment: asked by whatever rests on it, each time before it acts.
+    pub fn standing(&self, now: Millis) -> (Says, u32) {
+        (self.ledger.says(now - self.born), self.ledger.term())
+    }
+
+    /// Takes the effects so far.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// A datagram. One that is refused is counted and changes nothing.
+    pub fn heard(&mut self, now: Millis, bytes: &[u8]) -> Result<(), Refused> {
+        let taken = self.take(now, bytes);
+        match taken {
+            Ok(()) => self.counts.taken += 1,
+            Err(why) => *self.counts.refused.entry(why).or_default() += 1,
+        }
+        taken
+    }
+
+    fn take(&mut self, now: Millis, bytes: &[u8]) -> Result<(), Refused> {
+        let packet = wire::read(&self.set.fleet, bytes)?;
+        let from = packet.rows.first().map(|row| row.who).ok_or(Refused::Torn)?;
+        if packet.to != self.id || !self.index.contains_key(&from) {
+            return Err(Refused::Stranger);
+        }
+        self.settle(now); // What has ended by now has ended before anything else is known.
+        if packet.to_start > self.start {
+            self.rename(packet.to_start, now);
+        }
+        let mut fresh = false;
+        for (at, row) in packet.rows.into_iter().enumerate() {
+            fresh |= self.accept(row, at == 0, now);
+        }
+        self.settle(now);
+        if fresh {
+            Ok(())
+        } else {
+            Err(Refused::Stale)
+        }
+    }
+
+    /// One router's words; true if they are news.
+    fn accept(&mut self, row: Row, direct: bool, now: Millis) -> bool {
+        if row.who == self.id {
+            if row.start > self.start {
+                self.rename(row.start, now);
+            }
+            return false;
+        }
+        let Some(at) = self.index.get(&row.who).copied() else { return false };
+        let member = &mut self.members[at];
+        let known = (member.start(), member.beat());
+        if row.start < known.0 {
+            return false;
+        }
+        // Its own datagram may come behind another router's copy of the same words.
+        let own = direct && (row.start > known.0 || row.beat > member.direct_beat);
+        if own {
+            (member.direct_at, member.direct_beat) = (Some(now), row.beat);
+        }
+        if (row.start, row.beat) <= known {
+            return own;
+        }
+        let age = if direct { 0.0 } else { f64::from(row.age) };
+        if row.start > known.0 {
+            self.meet(at, &row, direct, now - age);
+        }
+        let member = &mut self.members[at];
+        member.heard_at = member.heard_at.max(now - age);
+        let mine = row.heard.iter().find(|heard| heard.of == self.id);
+        let mine = mine.filter(|heard| heard.tag == wire::tag(self.start));
+        if let Some(Heard { beat, refused, direct, .. }) = mine.copied() {
+            self.ledger.note(at, Answer { beat, refused, direct }, now - self.born);
+        }
+        if direct {
+            // One that has not heard this router for long, or not this start, is answered out of turn.
+            let lag = mine.map_or(f64::INFINITY, |heard| now - self.born - f64::from(heard.beat) * BEAT_MS);
+            member.owed |= lag > self.set.round_ms() + self.set.period_ms;
+        }
+        let (term, says) = (row.term, row.says);
+        member.row = Some(row);
+        if says == Says::Left {
+            self.change(at, State::Left, now, "it has said that it ends".to_owned());
+        } else {
+            let member = &self.members[at];
+            let back = match member.state {
+                State::Gone => member.gone_term.is_none_or(|gone| term > gone),
+                State::Joining | State::Suspect => true,
+                State::Alive | State::Left => false,
+            };
+            if back && member.silent(now) < self.set.suspect_ms() {
+                let how = if direct { "heard" } else { "heard through others" };
+                self.change(at, State::Alive, now, how.to_owned());
+            }
+        }
+        true
+    }
+
+    /// The first words of a start.
+    fn meet(&mut self, at: usize, row: &Row, direct: bool, heard_at: Millis) {
+        self.ledger.forget(at);
+        let member = &mut self.members[at];
+        // A router that has seen the start before knows all that it ever answered of it. One that hasn't may itself be a start
+        // without memory, and the one before it may have given this very term up.
+        let unknown = member.row.is_none();
+        member.refused = if unknown { row.term } else { 0 };
+        (member.voted, member.unheard_voted, member.gone_term) = (0, false, None);
+        if !direct {
+            (member.direct_at, member.direct_beat) = (None, 0);
+        }
+        (member.heard_at, member.owed) = (heard_at, true);
+        let why = if unknown { "heard for the first time" } else { "it has started anew" };
+        member.row = Some(row.clone()); // So that the change is told under its new start.
+        self.change(at, State::Alive, heard_at, why.to_owned());
+    }
+
+    fn change(&mut self, at: usize, state: State, now: Millis, why: String) {
+        let member = &mut self.members[at];
+        let states = (member.state, state);
+        if states.0 == state && member.why == why {
+            return;
+        }
+        (member.state, member.since, member.why) = (state, now, why.clone());
+        let (name, start, term) = (member.at.name.clone(), member.start(), member.term());
+        self.effects.push(Effect::Changed { name, start, term, states, why });
+    }
+
+    /// Another process has this router's name with a later start: an earlier process, where the Unix clock was set back
+    /// since, or one that should not be. Whoever still speaks takes a start above it.
+    fn rename(&mut self, above: u64, now: Millis) {
+        self.start = above.saturating_add(1);
+        (0..self.members.len()).for_each(|at| self.ledger.forget(at));
+        self.effects.push(Effect::Renamed(self.start));
+        self.settle(now);
+    }
+
+    /// Takes the time into account in this router's own standing.
+    fn settle(&mut self, now: Millis) {
+        let clock = now - self.born;
+        let until = self.ledger.holds_until();
+        self.ledger.settle(clock);
+        let (says, term) = (self.ledger.says(clock), self.ledger.term());
+        if (says, term) != self.says {
+            self.says = (says, term);
+            let ago_ms = if says == Says::CutOff { (clock - until).max(0.0) } else { 0.0 };
+            let heard_by = (self.ledger.heard_by(clock), self.set.routers());
+            self.effects.push(Effect::Standing { says, term, ago_ms, heard_by });
+            self.members.iter_mut().for_each(|member| member.owed = true);
+        }
+    }
+
+    /// A turn: judges the silent, and sends.
+    pub fn turn(&mut self, now: Millis) {
+        if now < self.turn_at {
+            return;
+        }
+        if let Some(gap) = self.patience.turn(now) {
+            // While this router stood still it could hear nobody: that silence is its own.
+            for member in &mut self.members {
+                member.heard_at = (member.heard_at + gap).min(now);
+                member.owed = true;
+            }
+            self.effects.push(Effect::Stalled(gap));
+        }
+        self.settle(now);
+        (0..self.members.len()).for_each(|at| self.judge(at, now));
+        self.send_due(now);
+    }
+
+    /// Whether another one is silent, whether it is given up, and whether the fleet has given it up.
+    fn judge(&mut self, at: usize, now: Millis) {
+        let member = &self.members[at];
+        if matches!(member.state, State::Gone | State::Left) || !self.patience.judges(now) {
+            return;
+        }
+        // Words that come through others come later.
+        let late = member.direct_at.is_none_or(|direct| member.heard_at - direct > self.set.suspect_ms());
+        let limit = self.set.suspect_ms() * self.patience.factor() * if late { 2.0 } else { 1.0 };
+        let silent = member.silent(now);
+        if silent < limit {
+            return;
+        }
+        if member.state != State::Suspect {
+            let why = match member.row {
+                Some(_) => format!("not heard for {silent:.0} ms"),
+                None => "never heard since this router's start".to_owned(),
+            };
+            self.change(at, State::Suspect, now, why);
+        }
+        // One without a majority can't tell who of the two is cut off.
+        if !self.ledger.holds(now - self.born) {
+            return;
+        }
+        let member = &self.members[at];
+        let others = self.heard_of(at).filter(|(_, heard)| heard.suspect).count();
+        let suspicion = patience::suspicion(self.set.suspicion_ms, others) * self.patience.factor();
+        if silent < limit + suspicion {
+            return;
+        }
+        let term = member.term();
+        let member = &mut self.members[at];
+        member.voted = member.voted.max(term);
+        member.refused = member.refused.max(term);
+        member.unheard_voted |= member.row.is_none();
+        self.verdict(at, now);
+    }
+
+    /// Gone, if so many have given up the term that no majority is left to answer it.
+    fn verdict(&mut self, at: usize, now: Millis) {
+        let member = &self.members[at];
+        let (start, term) = (wire::tag(member.start()), member.term());
+        let gave_up = |(_, heard): &(usize, Heard)| {
+            let same = heard.tag == start || heard.tag == 0 || start == 0;
+            heard.suspect && same && heard.voted >= term.max(1)
+        };
+        let voters = 1 + self.heard_of(at).filter(gave_up).count();
+        if voters < self.set.blocking() {
+            return;
+        }
+        let (silent, all) = (member.silent(now), self.set.routers());
+        self.members[at].gone_term = Some(term);
+        let why = format!("{voters} of {all} have given it up, this one after {silent:.0} ms of silence");
+        self.change(at, State::Gone, now, why);
+    }
+
+    /// What all others have last said of one.
+    fn heard_of(&self, at: usize) -> impl Iterator<Item = (usize, Heard)> + '_ {
+        let id = self.members[at].id;
+        self.members.iter().enumerate().filter(move |(other, _)| *other != at).filter_map(
+            move |(other, member)| {
+                let heard = member.row.as_ref()?.heard.iter().find(|heard| heard.of == id)?;
+                Some((other, *heard))
+            },
+        )
+    }
+
+    fn send_due(&mut self, now: Millis) {
+        self.tokens = (self.tokens + (now - self.tokens_at).max(0.0) * SENDS_PER_S / 1e3).min(SENDS_PER_S);
+        self.tokens_at = now;
+        let turn_ms = self.set.turn_ms();
+        // Turns that were missed are made up for, as far as one period goes.
+        let due = (((now - self.turn_at) / turn_ms).floor() + 1.0).min(self.set.period_ms / turn_ms);
+        self.turn_at = (self.turn_at + turn_ms).max(now + turn_ms / 2.0);
+        for _ in 0..due as usize {
+            if self.members.is_empty() || self.tokens < 1.0 {
+                return;
+            }
+            let at = self.next_turn(now);
+            self.send(at, now);
+        }
+        for at in 0..self.members.len() {
+            if self.tokens < 1.0 {
+                return;
+            }
+            let member = &self.members[at];
+            if member.owed && now - member.sent_at > 2.0 * turn_ms {
+                self.send(at, now);
+            }
+        }
+    }
+
+    /// Whom the next turn is for. Most go to those whose own datagrams come, as whatever is told travels through these; every
+    /// fifth to the rest, who may be dead or behind a cut.
+    fn next_turn(&mut self, now: Millis) -> usize {
+        self.turns += 1;
+        let far = usize::from(self.turns.is_multiple_of(FAR_EVERY));
+        let (from, count) = (self.next[far], self.members.len());
+        let ring = (0..count).map(|step| (from + step) % count);
+        let wanted = ring.clone().find(|at| self.hears(*at, now) == (far == 0));
+        // Without any of the one kind all turns are for the other, each in its own order.
+        let Some(at) = wanted else {
+            self.next[1 - far] = (self.next[1 - far] + 1) % count;
+            return self.next[1 - far];
+        };
+        self.next[far] = (at + 1) % count;
+        at
+    }
+
+    /// Whether another one's own datagrams come.
+    fn hears(&self, at: usize, now: Millis) -> bool {
+        self.members[at].direct_at.is_some_and(|at| now - at <= self.set.direct_ms())
+    }
+
+    fn send(&mut self, at: usize, now: Millis) {
+        self.tokens -= 1.0;
+        let own = self.row(now);
+        let to = &self.members[at];
+        let mut others: Vec<(f64, &Member, &Row)> = self
+            .members
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != at)
+            .filter_map(|(_, member)| {
+                let row = member.row.as_ref()?;
+                let known =
+                    to.row.as_ref().and_then(|row| row.heard.iter().find(|heard| heard.of == member.id));
+                let known = known.filter(|known| known.tag == wire::tag(row.start));
+                // One that hears it itself will do so again in a round.
+                let spare = match known {
+                    Some(known) if known.direct => self.set.round_ms() + 3.0 * self.set.turn_ms(),
+                    _ => 0.0,
+                };
+                let lag =
+                    known.map_or(f64::MAX, |known| (f64::from(row.beat) - f64::from(known.beat)) * BEAT_MS);
+                (lag > spare).then_some((lag, member, row))
+            })
+            .collect();
+        others.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let aged = others.into_iter().map(|(_, member, row)| {
+            let age = member.silent(now).min(f64::from(u16::MAX)) as u16;
+            Row { age, ..row.clone() }
+        });
+        let bytes = wire::write(&self.set.fleet, to.id, to.start(), own, aged);
+        let to = to.at.address;
+        let member = &mut self.members[at];
+        (member.owed, member.sent_at) = (false, now);
+        self.counts.sent += 1;
+        self.counts.sent_bytes += bytes.len() as u64;
+        self.effects.push(Effect::Send { to, bytes });
+    }
+
+    /// This router's own words.
+    fn row(&self, now: Millis) -> Row {
+        let heard = |(at, member): (usize, &Member)| Heard {
+            of: member.id,
+            tag: wire::tag(member.start()),
+            beat: member.beat(),
+            refused: member.refused,
+            voted: member.voted.max(u32::from(member.unheard_voted)),
+            suspect: matches!(member.state, State::Suspect | State::Gone),
+            direct: self.hears(at, now),
+        };
+        Row {
+            who: self.id,
+            start: self.start,
+            term: self.ledger.wanted(),
+            beat: ((now - self.born).max(0.0) / BEAT_MS) as u32,
+            age: 0,
+            says: if self.leaves { Says::Left } else { self.ledger.says(now - self.born) },
+            heard: self.members.iter().enumerate().map(heard).collect(),
+        }
+    }
+
+    /// This router ends: everybody is told, once, out of turn.
+    pub fn leave(&mut self, now: Millis) {
+        self.leaves = true;
+        self.tokens = self.members.len() as f64;
+        (0..self.members.len()).for_each(|at| self.send(at, now));
+    }
+}
--- /dev/null
+++ b/src/fleet/patience.rs
@@ -0,0 +1,91 @@
+//! What this router's own timers tell of itself: that it stood still, or runs late (Lifeguard: Dadgar, Phillips and
+//! Currey, "Lifeguard: SWIM-ing with Situational Awareness", 2017, section IV: local health).
+
+use crate::api::Millis;
+
+/// Patience goes up by this with a late turn and down with one in time.
+const UP: f64 = 0.25;
+const DOWN: f64 = 0.02;
+/// And is never more than this.
+const MOST: f64 = 2.0;
+
+/// Looks at the time between turns.
+#[derive(Clone, Debug)]
+pub struct Patience {
+    turn_ms: Millis,
+    /// From this on a gap is a standstill.
+    still_ms: Millis,
+    last: Millis,
+    factor: f64,
+    judges_from: Millis,
+}
+
+impl Patience {
+    /// Turns come every `turn_ms` from `now` on.
+    pub fn new(turn_ms: Millis, still_ms: Millis, now: Millis) -> Self {
+        Self { turn_ms, still_ms, last: now, factor: 1.0, judges_from: now }
+    }
+
+    /// A turn; the length of the standstill before it, if it was one. What others said meanwhile may still wait to
+    /// be read: nobody is judged for a while.
+    pub fn turn(&mut self, now: Millis) -> Option<Millis> {
+        let gap = (now - self.last).max(0.0);
+        self.last = now;
+        if gap >= self.still_ms {
+            self.judges_from = now + self.still_ms;
+            self.factor = (self.factor + UP).min(MOST);
+            return Some(gap);
+        }
+        let late = gap > 2.0 * self.turn_ms;
+        self.factor = if late { self.factor + UP } else { self.factor - DOWN }.clamp(1.0, MOST);
+        None
+    }
+
+    /// By how much longer it waits before it suspects or accuses.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    /// Whether it may judge others now.
+    pub fn judges(&self, now: Millis) -> bool {
+        now >= self.judges_from
+    }
+}
+
+/// How long a suspect has, where `others` suspect it as well: the most at first, the least when three others do (the same
+/// paper, section IV: dynamic suspicion).
+pub fn suspicion(bounds: [Millis; 2], others: usize) -> Millis {
+    const ENOUGH: f64 = 3.0;
+    let [least, most] = bounds;
+    let part = (others as f64 + 1.0).ln() / (ENOUGH + 1.0).ln();
+    (most - (most - least) * part).max(least)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_standstill_is_told_and_one_that_runs_late_waits_longer() {
+        let mut patience = Patience::new(100.0, 500.0, 0.0);
+        assert_eq!((patience.turn(100.0), patience.factor()), (None, 1.0));
+        assert_eq!(patience.turn(3100.0), Some(3000.0));
+        assert!(!patience.judges(3500.0) && patience.judges(3600.0));
+        for turn in 1..20 {
+            patience.turn(3100.0 + 400.0 * f64::from(turn));
+        }
+        assert_eq!(patience.factor(), MOST);
+        for turn in 1..100 {
+            patience.turn(10_700.0 + 100.0 * f64::from(turn));
+        }
+        assert_eq!(patience.factor(), 1.0);
+    }
+
+    #[test]
+    fn a_suspect_has_less_time_the_more_suspect_it_and_never_less_than_the_least() {
+        let times: Vec<f64> = (0..6).map(|others| suspicion([4000.0, 8000.0], others)).collect();
+        assert_eq!(times[0], 8000.0);
+        assert!(times.windows(2).all(|pair| pair[1] <= pair[0]));
+        assert_eq!(times[3..], [4000.0; 3]);
+    }
+}
--- /dev/null
+++ b/src/fleet/settings.rs
@@ -0,0 +1,129 @@
+//! What the operator's file says of the fleet, and the times that follow from it.
+
+use crate::api::Millis;
+use std::net::SocketAddr;
+use twox_hash::XxHash64;
+
+/// Routers in one fleet, at most: each one's row, with a word about every other, is to fit one datagram.
+pub const MAX_ROUTERS: usize = 64;
+/// Bytes of a router's or a fleet's name.
+pub const MAX_NAME: usize = 64;
+/// Clocks that should run alike may differ by so much of a time.
+pub const DRIFT: f64 = 0.01;
+/// A period holds so many turns, each of which sends one datagram.
+const TURNS: f64 = 5.0;
+
+/// A router's name as datagrams carry it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Id(pub [u8; 4]);
+
+impl Id {
+    /// The name's. Two names of one fleet that share it are refused where the file is read.
+    pub fn of(name: &str) -> Self {
+        Self((XxHash64::oneshot(0, name.as_bytes()) as u32).to_le_bytes())
+    }
+}
+
+/// Another router, and where it is reached from here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerAt {
+    /// Its name.
+    pub name: String,
+    /// Where its datagrams go.
+    pub address: SocketAddr,
+}
+
+/// `(fleet …)`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The fleet's name: datagrams of others are foreign.
+    pub fleet: String,
+    /// Where this router hears the others.
+    pub listen: SocketAddr,
+    /// All others.
+    pub peers: Vec<PeerAt>,
+    /// Time in which five datagrams leave.
+    pub period_ms: Millis,
+    /// Least and most time from suspicion to the word that a router is gone.
+    pub suspicion_ms: [Millis; 2],
+}
+
+impl Settings {
+    /// The usual times.
+    pub fn new(fleet: &str, listen: SocketAddr) -> Self {
+        let fleet = fleet.to_owned();
+        Self { fleet, listen, peers: Vec::new(), period_ms: 500.0, suspicion_ms: [4000.0, 8000.0] }
+    }
+
+    /// Routers that the file names, this one among them.
+    pub fn routers(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// How many are more than half.
+    pub fn majority(&self) -> usize {
+        self.routers() / 2 + 1
+    }
+
+    /// How many must have stopped answering one router for it to have no majority any more, itself never among them.
+    pub fn blocking(&self) -> usize {
+        self.routers() - self.majority() + 1
+    }
+
+    /// Time between two datagrams that leave by turns.
+    pub fn turn_ms(&self) -> Millis {
+        self.period_ms / TURNS
+    }
+
+    /// Time in which each other router is sent to once.
+    pub fn round_ms(&self) -> Millis {
+        self.turn_ms() * self.peers.len() as f64
+    }
+
+    /// Silence after which a router that is heard directly is suspected.
+    pub fn suspect_ms(&self) -> Millis {
+        3.6 * self.period_ms + self.turn_ms() * self.peers.len().saturating_sub(11) as f64
+    }
+
+    /// A router is heard directly if one of its own datagrams has come within this.
+    pub fn direct_ms(&self) -> Millis {
+        self.suspect_ms() + self.round_ms()
+    }
+
+    /// Least silence after which a router stops answering another one, by its own clock.
+    pub fn refuse_ms(&self) -> Millis {
+        self.suspect_ms() + self.suspicion_ms[0]
+    }
+
+    /// How long an answer counts, from when what it answers was sent, by the clock of the one that sent it. Shorter than
+    /// [`refuse_ms`](Self::refuse_ms) by more than clocks may differ: here stands that a router knows first.
+    pub fn lease_ms(&self) -> Millis {
+        0.75 * self.refuse_ms()
+    }
+
+    /// The least time from when a router knows that it is cut off to when anyone may call it gone.
+    pub fn knows_before_ms(&self) -> Millis {
+        self.refuse_ms() * (1.0 - DRIFT) - self.lease_ms() * (1.0 + DRIFT)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_router_knows_first_whatever_the_times_in_the_file() {
+        for (period, least) in [(100.0, 500.0), (500.0, 4000.0), (5000.0, 60_000.0)] {
+            for routers in [2usize, 3, 12, MAX_ROUTERS] {
+                let mut settings = Settings::new("north", ([127, 0, 0, 1], 1).into());
+                (settings.period_ms, settings.suspicion_ms) = (period, [least, 2.0 * least]);
+                let peer = |n: usize| PeerAt { name: n.to_string(), address: settings.listen };
+                settings.peers = (1..routers).map(peer).collect();
+                assert!(settings.knows_before_ms() > 0.2 * settings.refuse_ms());
+                // Whoever is left, when so many are gone, is no majority; one fewer, and it may be.
+                assert!(routers - settings.blocking() < settings.majority());
+                assert!(routers - settings.blocking() + 1 >= settings.majority());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/wire.rs
@@ -0,0 +1,217 @@
+//! Datagrams between routers: `postcard` behind a head with the version, the fleet and a checksum.
+//!
+//! A datagram with anything wrong is refused with its reason and changes nothing. A later version adds fields at the end of
+//! [`Packet`]; what follows the fields known here is passed over, so that versions n and n+1 understand each other.
+
+use super::settings::Id;
+use serde::{Deserialize, Serialize};
+use twox_hash::XxHash64;
+
+/// Bytes of one datagram, at most: it passes any net unsplit.
+pub const MAX_DATAGRAM: usize = 1200;
+/// Fill of a datagram that takes rows of others along.
+const RELAYED: usize = 900;
+const MAGIC: [u8; 2] = *b"ff";
+const VERSION: u8 = 1;
+/// Magic, version, fleet and checksum.
+const HEAD: usize = 2 + 1 + 4 + 8;
+/// Of rows and of words in a row: a datagram has no room for more.
+const MOST_ROWS: usize = 64;
+
+/// What a router says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Says {
+    /// It has not had a majority since its start.
+    #[default]
+    Joining,
+    /// A majority answers it.
+    Majority,
+    /// No majority answers it.
+    CutOff,
+    /// It ends.
+    Left,
+}
+
+/// What one router has heard of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The other one.
+    pub of: Id,
+    /// A short form of its start, see [`tag`]; 0: never heard.
+    pub tag: u16,
+    /// Its latest beat, by its own clock: what this answers.
+    pub beat: u32,
+    /// Terms of it up to this one are not answered any more.
+    pub refused: u32,
+    /// Terms of it up to this one were given up for silence; those are refused, too.
+    pub voted: u32,
+    /// It is silent here now.
+    pub suspect: bool,
+    /// Its own datagrams come here.
+    pub direct: bool,
+}
+
+/// A router's own words: which start of it speaks, how far its clock is, and whom it has heard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Whose.
+    pub who: Id,
+    /// Its start: greater is later.
+    pub start: u64,
+    /// The term that it is in or wants.
+    pub term: u32,
+    /// Its clock since its start, in units of 10 ms.
+    pub beat: u32,
+    /// How long ago the one that sends this has heard it, in ms.
+    pub age: u16,
+    /// What it says of itself.
+    pub says: Says,
+    /// Everybody else.
+    pub heard: Vec<Heard>,
+}
+
+/// A datagram: the sender's row, then rows of others that the receiver may not have.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packet {
+    /// Whom it is for.
+    pub to: Id,
+    /// The latest start of that one which the sender knows; 0: none.
+    pub to_start: u64,
+    /// The rows.
+    pub rows: Vec<Row>,
+}
+
+/// Why a datagram is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refused {
+    /// Longer than one can be, or shorter.
+    Length,
+    /// Of another kind, another version or another fleet.
+    Foreign,
+    /// Cut short or changed.
+    Torn,
+    /// Not for this router, or of one that the file doesn't name.
+    Stranger,
+    /// Of an earlier start, or heard before.
+    Stale,
+}
+
+/// A short form of a start, never 0.
+pub fn tag(start: u64) -> u16 {
+    match start {
+        0 => 0,
+        _ => (XxHash64::oneshot(1, &start.to_le_bytes()) as u16).max(1),
+    }
+}
+
+fn fleet_tag(fleet: &str) -> [u8; 4] {
+    (XxHash64::oneshot(2, fleet.as_bytes()) as u32).to_le_bytes()
+}
+
+/// A datagram's bytes. Rows that find no room are left out, the last first; the sender's own always has room.
+pub fn write(fleet: &str, to: Id, to_start: u64, own: Row, others: impl Iterator<Item = Row>) -> Vec<u8> {
+    let mut packet = Packet { to, to_start, rows: vec![own] };
+    let size = |row: &Row| postcard::to_stdvec(row).map_or(MAX_DATAGRAM, |bytes| bytes.len());
+    let mut room = RELAYED.saturating_sub(HEAD + 16 + size(&packet.rows[0]));
+    for row in others {
+        match room.checked_sub(size(&row)) {
+            Some(left) if packet.rows.len() < MOST_ROWS => room = left,
+            _ => break,
+        }
+        packet.rows.push(row);
+    }
+    let body = postcard::to_stdvec(&packet).unwrap_or_default(); // Into memory nothing of this can fail.
+    let sum = XxHash64::oneshot(u64::from(VERSION), &body);
+    [&MAGIC[..], &[VERSION], &fleet_tag(fleet), &sum.to_le_bytes(), &body].concat()
+}
+
+/// Reads a datagram of this fleet.
+pub fn read(fleet: &str, bytes: &[u8]) -> Result<Packet, Refused> {
+    if bytes.len() < HEAD || bytes.len() > MAX_DATAGRAM {
+        return Err(Refused::Length);
+    }
+    let (head, body) = bytes.split_at(HEAD);
+    let version = head[2];
+    if head[..2] != MAGIC || version < VERSION || head[3..7] != fleet_tag(fleet) {
+        return Err(Refused::Foreign);
+    }
+    if head[7..] != XxHash64::oneshot(u64::from(version), body).to_le_bytes() {
+        return Err(Refused::Torn);
+    }
+    let (packet, _later): (Packet, _) = postcard::take_from_bytes(body).map_err(|_| Refused::Torn)?;
+    let fits = |row: &Row| row.heard.len() <= MOST_ROWS;
+    if packet.rows.is_empty() || packet.rows.len() > MOST_ROWS || !packet.rows.iter().all(fits) {
+        return Err(Refused::Torn);
+    }
+    Ok(packet)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::settings::MAX_ROUTERS;
+    use quickcheck::{Gen, QuickCheck};
+
+    fn row(who: &str, others: usize) -> Row {
+        let heard = |n: usize| Heard {
+            of: Id::of(&n.to_string()),
+            tag: u16::MAX,
+            beat: 0x0fff_ffff,
+            refused: 127,
+            voted: 127,
+            suspect: true,
+            direct: true,
+        };
+        let (start, term, beat) = (1_800_000_000_000, 100, 0x0fff_ffff);
+        let heard = (0..others).map(heard).collect();
+        Row { who: Id::of(who), start, term, beat, age: 900, says: Says::Majority, heard }
+    }
+
+    #[test]
+    fn a_datagram_is_read_whole_or_refused_with_its_reason() {
+        let bytes = write("north", Id::of("b"), 7, row("a", 3), [row("c", 3)].into_iter());
+        let packet = Packet { to: Id::of("b"), to_start: 7, rows: vec![row("a", 3), row("c", 3)] };
+        assert_eq!(read("north", &bytes), Ok(packet.clone()));
+        assert_eq!(read("south", &bytes), Err(Refused::Foreign));
+        assert_eq!(read("north", &[0; 1201]), Err(Refused::Length));
+        assert_eq!(read("north", b"{\"hello\":\"there, foreign one\"}"), Err(Refused::Foreign));
+        assert!((HEAD..bytes.len()).all(|at| read("north", &bytes[..at]) == Err(Refused::Torn)));
+        for at in 0..bytes.len() {
+            let mut spoilt = bytes.clone();
+            spoilt[at] ^= 16;
+            assert!(read("north", &spoilt).is_err(), "byte {at}");
+        }
+        // A later version's datagram: more fields at the end, under its own number.
+        let body = [&bytes[HEAD..], b"more"].concat();
+        let sum = XxHash64::oneshot(2, &body).to_le_bytes();
+        let later = [&MAGIC[..], &[2], &fleet_tag("north"), &sum, &body].concat();
+        assert_eq!(read("north", &later), Ok(packet));
+    }
+
+    #[test]
+    fn the_largest_fleet_fits_a_datagram_and_rows_without_room_are_left_out() {
+        let most = MAX_ROUTERS - 1;
+        let others = std::iter::repeat_with(|| row("c", most));
+        let bytes = write("north", Id::of("b"), u64::MAX, row("a", most), others.take(100));
+        assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
+        let packet = read("north", &bytes).expect("its own");
+        assert_eq!(packet.rows[0], row("a", most));
+        let small =
+            write("north", Id::of("b"), 1, row("a", 3), std::iter::repeat_with(|| row("c", 3)).take(500));
+        assert!(small.len() <= RELAYED && read("north", &small).is_ok_and(|packet| packet.rows.len() > 10));
+    }
+
+    #[test]
+    fn no_bytes_make_the_reader_panic() {
+        fn property(bytes: Vec<u8>) -> bool {
+            let sum = XxHash64::oneshot(1, &bytes).to_le_bytes();
+            let whole = [&MAGIC[..], &[1], &fleet_tag("n"), &sum, &bytes].concat();
+            read("n", &bytes).is_err()
+                && read("n", &whole).map_or(true, |packet| packet.rows.len() <= MOST_ROWS)
+        }
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(300, 5))
+            .tests(5000)
+            .quickcheck(property as fn(Vec<u8>) -> bool);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod config;
 pub mod counters;
 pub mod fastcgi;
+pub mod fleet;
 pub mod front;
 pub mod handover;
 pub mod log;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -4,6 +4,7 @@
 //! with a fault changes nothing.
 
 mod addresses;
+mod fleet;
 mod form;
 mod plugins;
 
@@ -30,6 +31,8 @@
     pub plugins: Vec<Spec>,
     /// `(ops (unix …))`: a Unix socket where operators call, beside the config's place or without one.
     pub ops_socket: Option<PathBuf>,
+    /// `(fleet …)`: the other request routers, and where this one hears them.
+    pub fleet: Option<crate::fleet::Settings>,
     /// Where SIGUSR1 has the latest views of requests written, for `frostturn plugin run`.
     pub record: Option<PathBuf>,
 }
@@ -54,12 +57,11 @@
         let Some(sections) = reader.headed(root, "frostturn") else { return Err(reader.into_faults()) };
         let mut seen = Vec::new();
         for section in sections {
-            let Some((word, rest)) = reader.section(section, &["addresses", "ops", "plugins"], &mut seen)
-            else {
-                continue;
-            };
+            const SECTIONS: [&str; 4] = ["addresses", "fleet", "ops", "plugins"];
+            let Some((word, rest)) = reader.section(section, &SECTIONS, &mut seen) else { continue };
             match word {
                 "addresses" => operator.addresses = Some(addresses::read(&mut reader, rest)),
+                "fleet" => operator.fleet = fleet::read(&mut reader, section, rest),
                 "ops" => operator.ops_socket = ops(&mut reader, section, rest),
                 _ => (operator.plugins, operator.record) = plugins::read(&mut reader, rest),
             }
--- a/src/ops/control.rs
+++ b/src/ops/control.rs
@@ -44,6 +44,7 @@
     let (method, path, body) = match call {
         Call::Ready => ("GET", "ready", ""),
         Call::Telemetry => ("GET", "telemetry", ""),
+        Call::Fleet => ("GET", "fleet", ""),
         Call::Exclude(name) => ("POST", "exclude", name.as_str()),
         Call::Include(name) => ("POST", "include", name.as_str()),
         Call::Evacuate => ("POST", "evacuate", ""),
@@ -101,6 +102,7 @@
         let calls = [
             Call::Ready,
             Call::Telemetry,
+            Call::Fleet,
             Call::Exclude(name.clone()),
             Call::Include(name),
             Call::Evacuate,
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -7,7 +7,7 @@
 mod telemetry;
 
 use crate::api::Millis;
-pub use telemetry::{Disposition, Results, Telemetry};
+pub use telemetry::{Disposition, FleetFigures, Results, Telemetry};
 
 /// Bytes of one call, head and body.
 pub const MAX_CALL: usize = 4096;
@@ -33,6 +33,8 @@
     Rejoin,
     /// What it has done so far, and holds now.
     Telemetry,
+    /// Who else routes here: answered without the reducer.
+    Fleet,
 }
 
 /// How a call is answered.
@@ -92,6 +94,7 @@
         "/api/evacuate" => ("POST", Ok(Call::Evacuate)),
         "/api/rejoin" => ("POST", Ok(Call::Rejoin)),
         "/api/telemetry" => ("GET", Ok(Call::Telemetry)),
+        "/api/fleet" => ("GET", Ok(Call::Fleet)),
         _ => return Err(Refusal(404, "there is no such call")),
     };
     if head.method != Some(wanted) {
@@ -120,6 +123,20 @@
     page(200, "OK", "application/json", &telemetry.json())
 }
 
+/// The answer to [`Call::Fleet`]: the picture, or none where another process of this router speaks; none at all where
+/// the operator's file has no such section.
+pub fn fleet(view: Option<Option<crate::fleet::View>>) -> Vec<u8> {
+    let text = match view {
+        None => return page(404, "Not Found", "text/plain", "there is no (fleet …) in the operator's file"),
+        Some(None) => "another process of this router speaks for it".to_owned(),
+        Some(Some(view)) => match simd_json::to_string(&view) {
+            Ok(text) => return page(200, "OK", "application/json", &text),
+            Err(e) => e.to_string(),
+        },
+    };
+    page(503, "Service Unavailable", "text/plain", &text)
+}
+
 fn page(status: u16, words: &str, kind: &str, text: &str) -> Vec<u8> {
     let head =
         format!("HTTP/1.1 {status} {words}\r\nContent-Type: {kind}\r\nContent-Length: {}", text.len() + 1);
--- a/src/ops/telemetry.rs
+++ b/src/ops/telemetry.rs
@@ -58,6 +58,32 @@
     pub ejected: usize,
     /// Signals to read the files again that were followed, and those that changed nothing as a file was bad.
     pub reloads: [u64; 2],
+    /// What is told of the fleet, where there is one and this process speaks in it.
+    pub fleet: Option<FleetFigures>,
+}
+
+/// A router's part in its fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetFigures {
+    /// Its standing, by its word.
+    pub standing: &'static str,
+    /// Other routers in each state, by its word.
+    pub states: Vec<(&'static str, usize)>,
+    /// Datagrams sent, taken, refused, and not sent as the system didn't take them.
+    pub datagrams: [u64; 4],
+}
+
+impl FleetFigures {
+    fn json(&self) -> String {
+        let mut out = format!("{{\"standing\":\"{}\"", self.standing);
+        let names = ["sent", "taken", "refused", "unsent"];
+        let datagrams = names.iter().zip(self.datagrams).map(|(name, count)| (*name, count));
+        for (name, count) in self.states.iter().map(|(name, count)| (*name, *count as u64)).chain(datagrams) {
+            let _ = write!(out, ",\"{name}\":{count}"); // A String takes all that is written to it.
+        }
+        out.push('}');
+        out
+    }
 }
 
 impl Telemetry {
@@ -83,7 +109,11 @@
             format!("{{\"service\":{},\"disposition\":\"{}\",\"count\":{count}}}", quoted(class), how.word())
         };
         let rows: Vec<String> = self.results.0.iter().map(row).collect();
-        let _ = write!(out, "\"results\":[{}]}}", rows.join(","));
+        let _ = write!(out, "\"results\":[{}]", rows.join(","));
+        if let Some(fleet) = &self.fleet {
+            let _ = write!(out, ",\"fleet\":{}", fleet.json());
+        }
+        out.push('}');
         out
     }
 }
--- a/src/reducer/machines.rs
+++ b/src/reducer/machines.rs
@@ -121,6 +121,7 @@
                 let telemetry = Box::new(self.telemetry());
                 return self.effects.push(Effect::Report { caller, telemetry });
             }
+            ops::Call::Fleet => ops::Verdict::No, // Answered before it comes here.
             ops::Call::Exclude(name) if !self.lists(&name) => ops::Verdict::Unknown,
             ops::Call::Include(name) if !self.lists(&name) && !self.excluded.holds(&name) => {
                 ops::Verdict::Unknown
@@ -187,6 +188,7 @@
             discovered: self.members.values().filter(|member| member.phase == Phase::Serving).count(),
             ejected: self.module.ejected(),
             reloads: [self.counters.reloads, self.counters.reloads_refused],
+            fleet: None, // The reducer knows of no other routers.
         }
     }
 
--- a/src/runtime/handover.rs
+++ b/src/runtime/handover.rs
@@ -117,6 +117,11 @@
         Ok(())
     }
 
+    /// Whether this process, which was told to end, has left its part to another one that runs.
+    pub(super) fn succeeded(&self) -> bool {
+        self.said_end && self.part == 0.0
+    }
+
     /// One change: what is saved now, the change applied, written. A change that isn't made writes nothing.
     fn change(
         &mut self,
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 
 mod board;
 mod clients;
+mod fleet;
 mod handover;
 mod machines;
 mod operators;
@@ -53,6 +54,8 @@
     Callers,
     Front(u64),
     Listener,
+    /// Last: a flood there holds up no request.
+    Fleet,
 }
 
 /// Inputs that wait for the reducer.
@@ -122,6 +125,8 @@
     next_caller: u64,
     /// The file for the next process, where operators can call.
     handover: Option<handover::Handover>,
+    /// This router's seat among the others, where the operator's file names them.
+    seat: Option<fleet::Seat>,
 }
 
 /// Serves until it is told to end.
@@ -154,6 +159,8 @@
         ops_places.push(operators::Called::listen(&handle, place).map_err(io(&named))?);
     }
     let called = !ops_places.is_empty();
+    let seat =
+        operator.fleet.map(|set| fleet::Seat::take(&handle, set, &config.name, config.seed)).transpose()?;
     let net = &config.net;
     let most = reducer.most_links();
     let links = Links::with_rules(
@@ -196,6 +203,7 @@
         callers: BTreeMap::new(),
         next_caller: 0,
         handover: called.then(|| handover::Handover::new(&listens.to_string(), config.seed)),
+        seat,
     };
     let unix_ms = unix_ms();
     state.inbox.extend(config.known.into_iter().map(|notice| Input::Notice { notice, unix_ms }));
@@ -212,6 +220,7 @@
             Err(e) => say!("event loop: {e}"),
         }
     }
+    state.leave_seat(true);
     state.leave_state();
     say!(always; "{} ends; {}", config.name, state.reducer.counters);
     Ok(())
@@ -240,7 +249,9 @@
             return 0.0;
         }
         let board = Some(self.follower.due);
-        let dues = [self.reducer.next_due(), self.links.next_due(), board, self.accept_from, self.exit_by];
+        let seat = self.seat.as_ref().and_then(fleet::Seat::due_in).map(|wait| self.now() + wait);
+        let dues =
+            [self.reducer.next_due(), self.links.next_due(), board, self.accept_from, self.exit_by, seat];
         dues.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 
@@ -272,7 +283,7 @@
                 Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
                 Source::Board => self.board.as_mut().map(|(sock, _)| sock),
                 Source::Caller(key) => self.caller_sock(key),
-                Source::Listener | Source::Callers => None,
+                Source::Listener | Source::Callers | Source::Fleet => None,
             };
             if let Some(sock) = sock {
                 sock.readable |= readiness.readable || readiness.error;
@@ -288,6 +299,7 @@
         for source in std::mem::take(&mut self.dirty) {
             self.serve(source);
         }
+        self.fleet_due();
         self.links_due();
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_MS;
@@ -319,6 +331,7 @@
             Source::Listener => self.accept(),
             Source::Caller(key) => self.serve_caller(key),
             Source::Callers => self.accept_callers(),
+            Source::Fleet => self.serve_fleet(),
         }));
         if served.is_err() {
             self.reducer.counters.panics += 1;
@@ -329,7 +342,7 @@
                 Source::Front(key) => self.close_front(key),
                 Source::Board => self.board_failed("panic"),
                 Source::Caller(key) => self.close_caller(key),
-                Source::Listener | Source::Callers => {}
+                Source::Listener | Source::Callers | Source::Fleet => {}
             }
         }
         self.work();
@@ -386,7 +399,10 @@
             }
             Effect::Change { caller, name, out } => self.change_state(caller, &name, out),
             Effect::Verdict { caller, verdict } => self.answer_caller(caller, ops::answer(Ok(verdict))),
-            Effect::Report { caller, telemetry } => self.answer_caller(caller, ops::report(&telemetry)),
+            Effect::Report { caller, mut telemetry } => {
+                telemetry.fleet = self.seat.as_ref().and_then(fleet::Seat::figures);
+                self.answer_caller(caller, ops::report(&telemetry));
+            }
             Effect::Log(text) => say!("{text}"),
             Effect::StopListening => {
                 // What the kernel has let in for this process is nobody else's: it is taken before the door closes.
@@ -423,6 +439,9 @@
         self.links.set_rules(operator.addresses);
         self.record = operator.record;
         self.load_plugins(operator.plugins);
+        if operator.fleet.as_ref() != self.seat.as_ref().map(fleet::Seat::settings) {
+            say!(always; "a new (fleet …) takes effect at the next start");
+        }
         if config.board != self.board_at {
             // The old board tells nothing more: what it has begun to say is asked for again, at the new one.
             self.board_at = config.board;
--- a/src/runtime/operators.rs
+++ b/src/runtime/operators.rs
@@ -87,6 +87,10 @@
                 }
             }
         }
+        if heard == Some(ops::Call::Fleet) {
+            let page = self.fleet_page();
+            return self.answer_caller(key, page);
+        }
         if let Some(call) = heard {
             // What another process was told meanwhile holds here too, before a word is said of it.
             self.take_state();
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -35,7 +35,7 @@
         ("(frostturn (addresses)", vec!["1:22: can't be read: EOF"]),
         ("(frost)", vec!["1:1: (frostturn"]),
         ("(frostturn\n (adresses))", vec!["2:3: unknown word \"adresses\"; is addresses meant?"]),
-        ("(frostturn (zzz))", vec!["1:13: unknown word \"zzz\"; known are addresses, ops, plugins"]),
+        ("(frostturn (zzz))", vec!["1:13: unknown word \"zzz\"; known are addresses, fleet, ops, plugins"]),
         ("(frostturn (addresses) (addresses))", vec!["1:25: addresses is there twice"]),
         ("(frostturn (addresses (order ipv6 ipv5)))", vec!["1:35: unknown word \"ipv5\""]),
         ("(frostturn (addresses (order)))", vec!["1:23: at least one"]),
@@ -49,6 +49,29 @@
         ("(frostturn (addresses (machine \"a\")))", vec!["1:23: a machine has 1 to 7 endpoints"]),
         ("(frostturn (addresses (machine \"a\" (tcp \"nowhere:1\"))))", vec!["1:41: an address and port"]),
         ("(frostturn (addresses (machine \"a\" (unix \"box.sock\"))))", vec!["1:42: an absolute path"]),
+        ("(frostturn (fleet (listen \"127.0.0.1:1\")))", vec!["1:12: a fleet needs (name"]),
+        ("(frostturn (fleet (name \"n\")))", vec!["1:12: a fleet needs (listen"]),
+        ("(frostturn (fleet (name \"n\") (listen \"127.0.0.1:0\")))", vec!["1:38: an address and port"]),
+        (
+            "(frostturn (fleet (name \"n\") (listen \"127.0.0.1:1\") (peer \"a\" \"127.0.0.1:2\")\n(peer \"a\" \"127.0.0.1:3\")))",
+            vec!["2:7: peer \"a\" is there twice"],
+        ),
+        (
+            "(frostturn (fleet (name \"n\") (listen \"127.0.0.1:1\") (peer \"a\" \"127.0.0.1:2\")\n(peer \"b\" \"127.0.0.1:2\")))",
+            vec!["2:11: peers b and a have one address"],
+        ),
+        (
+            "(frostturn (fleet (name \"n\") (listen \"127.0.0.1:1\") (peer \"a\" \"127.0.0.1:1\")))",
+            vec!["1:38: peer a is reached where this router itself listens"],
+        ),
+        (
+            "(frostturn (fleet (name \"n\") (listen \"127.0.0.1:1\") (suspicion 5s 4s)))",
+            vec!["1:53: the least suspicion is longer"],
+        ),
+        (
+            "(frostturn (fleet (name \"n\") (listen \"127.0.0.1:1\") (period 2s) (suspicion 5s 9s)))",
+            vec!["1:12: a suspicion of 5000ms is too short for a period of 2000ms"],
+        ),
         ("(frostturn (ops))", vec!["1:12: (unix \"/path\") is wanted"]),
         ("(frostturn (ops (unix \"a.sock\")))", vec!["1:23: an absolute path of 90 bytes"]),
         ("(frostturn (ops (tcp \"127.0.0.1:1\")))", vec!["1:18: unknown word \"tcp\""]),
