Add the laboratory's scenario of a fleet: twelve real routers, load, drawn faults, a checker

The checker reads the routers' lines against what was done; each of its figures has a test in which a wrong router breaks it. Requests at a router that was killed or stopped under them are excused from the rule on losses; the harness knows which from what it did.

--- a/crates/frostturn-lab/src/check.rs
+++ b/crates/frostturn-lab/src/check.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// A request was at a router that was killed or stopped under it, so that nobody could answer it in time: whether it
+    /// was answered doesn't count. That it ran twice still does.
+    pub fn excuse(&mut self, id: u64) {
+        self.asked.remove(&id);
+    }
+
     /// When a request was sent.
     pub fn sent(&self, id: u64) -> Option<Millis> {
         self.asked.get(&id).map(|asked| asked.sent)
@@ -254,6 +260,17 @@
         assert_eq!(checker.finish().rules.lost, 3);
     }
 
+    #[test]
+    fn what_a_killed_router_held_is_excused_and_nothing_else() {
+        let mut checker = Checker::default();
+        (1..=2).for_each(|id| checker.asked(id, 1, 7, 0.0, 1000.0));
+        checker.arrived(1, 0, 5.0);
+        checker.arrived(1, 1, 6.0);
+        checker.excuse(1);
+        let rules = checker.finish().rules;
+        assert_eq!((rules.lost, rules.doubled), (1, 1));
+    }
+
     #[test]
     fn one_that_sends_a_swap_over_another_address_doubles_it() {
         let mut checker = Checker::default();
--- a/crates/frostturn-lab/src/clients.rs
+++ b/crates/frostturn-lab/src/clients.rs
@@ -92,6 +92,8 @@
     pub crossed: u64,
     /// When each was sent, its worth, and whether that was earned.
     pub times: Vec<(f64, f64, bool)>,
+    /// All requests: which, when they were sent, and until when their clients wait.
+    pub asked: Vec<(u64, f64, f64)>,
 }
 
 #[derive(Debug)]
@@ -124,6 +126,7 @@
         unsent: 0,
         crossed: 0,
         times: Vec::new(),
+        asked: Vec::new(),
     }));
     let gaps = Exp::new(rate / 1e3).expect("a positive rate");
     let objects = Zipf::new(OBJECTS, 0.9).expect("sound figures");
@@ -166,6 +169,7 @@
         unsent: std::mem::take(&mut load.unsent),
         crossed: load.crossed,
         times: std::mem::take(&mut load.times),
+        asked: std::mem::take(&mut load.asked),
     }
 }
 
@@ -209,6 +213,7 @@
         request
     };
     if first {
+        lock(load).asked.push((id, now, now + kept.patience_ms));
         world.seen().checker.asked(id, kept.most, object, now, kept.patience_ms);
     }
     let (mut out, mut params) = (Vec::new(), Vec::new());
--- a/crates/frostturn-lab/src/fleet/schedule.rs
+++ b/crates/frostturn-lab/src/fleet/schedule.rs
@@ -103,11 +103,18 @@
             let calm = Link::default();
             let rough = Link { lose: 0.3, double: 0.1, delay_ms: 400.0, cut: false };
             let mut heals = at + for_ms;
-            match rng.random_range(0..13) {
+            // While some are dead, what else happens leaves a majority: else nobody could notice the deaths.
+            let beside = at < back;
+            let which = if beside {
+                [0, 1, 2, 3, 4, 5, 6, 12][rng.random_range(0..8)]
+            } else {
+                rng.random_range(0..13)
+            };
+            match which {
                 0 => {
                     let still = [500.0, 3000.0, 10_000.0][rng.random_range(0..3)];
                     heals = (at + still).min(end);
-                    let these = if rng.random() { vec![one] } else { third };
+                    let these = if beside || rng.random() { vec![one] } else { third };
                     add(at, What::Stop(these.clone()));
                     add(heals, What::Resume(these));
                 }
--- a/crates/frostturn-lab/src/main.rs
+++ b/crates/frostturn-lab/src/main.rs
@@ -56,6 +56,12 @@
     /// No failures
     #[arg(long)]
     calm: bool,
+    /// Play a schedule of faults that was printed, instead of the seed's (fleet)
+    #[arg(long, value_name = "FILE")]
+    replay: Option<PathBuf>,
+    /// Print the seed's schedule of faults, a JSON line a step, and play nothing (fleet)
+    #[arg(long)]
+    schedule: bool,
     /// Seconds of load
     #[arg(long)]
     seconds: Option<f64>,
@@ -82,8 +88,13 @@
         eprintln!("no scenario {name:?}; there are {}", known.join(", "));
         return ExitCode::from(2);
     };
-    let Flags { seed, json, out, daemon, first_only, plain, calm, seconds, rate } = flags.clone();
-    match run(&Options { seed, daemon, first_only, plain, calm, seconds, rate, out }) {
+    let Flags { seed, json, out, daemon, first_only, plain, calm, replay, schedule, seconds, rate } =
+        flags.clone();
+    if schedule {
+        print!("{}", frostturn_lab::scenarios::fleet::schedule(seed, seconds).print());
+        return ExitCode::SUCCESS;
+    }
+    match run(&Options { seed, daemon, first_only, plain, calm, replay, seconds, rate, out }) {
         Ok(report) => {
             report.print(json);
             if report.good() {
--- a/crates/frostturn-lab/src/relay.rs
+++ b/crates/frostturn-lab/src/relay.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -16,6 +16,9 @@
 /// Datagrams held back at once, in all; what is more is lost.
 const MOST_HELD: usize = 10_000;
 
+/// Datagrams that are kept, to be sent again as junk.
+const LATEST: usize = 500;
+
 /// How a link behaves. Drawn for each datagram by itself, so that different delays reorder.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Link {
@@ -49,8 +52,9 @@
     links: Links,
     /// Where each sends what is for each other one.
     ways: Vec<Vec<Option<SocketAddr>>>,
-    /// Datagrams that passed.
+    /// Datagrams that passed, and some of the latest.
     pub passed: Arc<AtomicU64>,
+    pub latest: Arc<Mutex<VecDeque<Vec<u8>>>>,
     over: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -95,11 +99,17 @@
             }
         }
         let (over, passed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-        let carried =
-            Carrier { links: links.clone(), listens: listens.to_vec(), sockets, passed: passed.clone() };
+        let latest = Arc::new(Mutex::new(VecDeque::new()));
+        let carried = Carrier {
+            links: links.clone(),
+            listens: listens.to_vec(),
+            sockets,
+            passed: passed.clone(),
+            latest: latest.clone(),
+        };
         let ends = over.clone();
         let thread = Some(thread::spawn(move || carried.run(&ends, seed)));
-        Ok(Self { links, ways, passed, over, thread })
+        Ok(Self { links, ways, passed, latest, over, thread })
     }
 
     /// Where one sends what is for another.
@@ -125,6 +135,7 @@
     listens: Vec<SocketAddr>,
     sockets: Vec<(usize, usize, UdpSocket)>,
     passed: Arc<AtomicU64>,
+    latest: Arc<Mutex<VecDeque<Vec<u8>>>>,
 }
 
 impl Carrier {
@@ -139,6 +150,10 @@
                 // One that nobody hears is lost, as on a real link.
                 if socket.send_to(&bytes, self.listens[*to]).is_ok() {
                     self.passed.fetch_add(1, Ordering::Relaxed);
+                    let mut latest = self.latest.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+                    latest.push_back(bytes);
+                    let over = latest.len().saturating_sub(LATEST);
+                    latest.drain(..over);
                 }
             }
             let wait = held
--- a/crates/frostturn-lab/src/rig.rs
+++ b/crates/frostturn-lab/src/rig.rs
@@ -25,6 +25,8 @@
     /// Where it hears the others.
     pub listen: SocketAddr,
     operator: PathBuf,
+    /// Where clients connect, over all its processes.
+    pub address: Option<SocketAddr>,
     /// Logs of all its processes so far.
     pub logs: Vec<PathBuf>,
 }
@@ -72,7 +74,14 @@
             text.push_str("))\n");
             let operator = site.dir.join(format!("fleet{at}.scm"));
             std::fs::write(&operator, text).map_err(io)?;
-            slots.push(Slot { name: format!("n{at}"), process: None, listen, operator, logs: Vec::new() });
+            slots.push(Slot {
+                name: format!("n{at}"),
+                process: None,
+                listen,
+                operator,
+                address: None,
+                logs: Vec::new(),
+            });
         }
         Ok(Self { site, relays, slots, program, seed })
     }
@@ -83,7 +92,7 @@
         let instances = self.slots.len();
         let slot = &mut self.slots[at];
         let number = (at + 1) * 1000 + slot.logs.len();
-        let listen = slot.process.as_ref().map_or(([127, 0, 0, 1], 0).into(), |old| old.address);
+        let listen = slot.address.unwrap_or(([127, 0, 0, 1], 0).into());
         let start = Start {
             dir: &self.site.dir,
             program: self.program.as_deref(),
@@ -97,6 +106,9 @@
         };
         let new = if wait { Daemon::start(&start)? } else { Daemon::spawn(&start)? };
         slot.logs.push(new.log.clone());
+        if wait {
+            slot.address = Some(new.address);
+        }
         Ok(slot.process.replace(new))
     }
 
@@ -107,10 +119,13 @@
                 self.spawn(at, fleet, false)?;
             }
         }
-        self.slots
-            .iter_mut()
-            .filter_map(|slot| slot.process.as_mut())
-            .try_for_each(|one| one.until_ready(true))
+        for slot in &mut self.slots {
+            if let Some(process) = &mut slot.process {
+                process.until_ready(true)?;
+                slot.address = Some(process.address);
+            }
+        }
+        Ok(())
     }
 
     /// Ends one at once.
--- a/crates/frostturn-lab/src/scenarios/mod.rs
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! What can be run. A seed fixes the failures and the load.
 
 pub mod addresses;
+pub mod fleet;
 pub mod photos;
 pub mod plugins;
 pub mod service;
@@ -26,6 +27,8 @@
     pub seconds: Option<f64>,
     /// Requests a second.
     pub rate: Option<f64>,
+    /// A schedule of faults to be played instead of the seed's.
+    pub replay: Option<PathBuf>,
     /// Where figures go.
     pub out: Option<PathBuf>,
 }
@@ -38,7 +41,7 @@
 }
 
 /// All of them.
-pub const ALL: [Scenario; 5] = [
+pub const ALL: [Scenario; 6] = [
     Scenario { name: "up", about: "a small site, served for some seconds", run: up::run },
     Scenario {
         name: "addresses",
@@ -55,6 +58,11 @@
         about: "upgrades under load, boxes taken out, processes that die, spoilt files, callers that stall",
         run: service::run,
     },
+    Scenario {
+        name: "fleet",
+        about: "twelve routers that know each other, under load and drawn faults between them",
+        run: fleet::run,
+    },
     Scenario {
         name: "photos",
         about: "the worked plug-in for staff photos, against none, where boxes come back empty",
--- a/src/runtime/fleet.rs
+++ b/src/runtime/fleet.rs
@@ -68,7 +68,7 @@
         let mut seat = Self { settings, name: name.to_owned(), seed, speaks: None, bind_at: None, unsent: 0 };
         let (at, fleet) = (seat.settings.listen, seat.settings.fleet.clone());
         match seat.try_bind(handle) {
-            Ok(true) => say!("fleet {fleet}: {name} hears the others at {at}"),
+            Ok(true) => say!("fleet {fleet}: {name} hears the others at {at}, start {}", seat.start()),
             Ok(false) => {
                 say!("fleet {fleet}: another process has {at}; this one speaks once that has let go")
             }
@@ -77,6 +77,10 @@
         Ok(seat)
     }
 
+    fn start(&self) -> u64 {
+        self.speaks.as_ref().map_or(0, |speaks| speaks.fleet.start())
+    }
+
     fn try_bind(&mut self, handle: &LoopHandle<'static, Runtime>) -> io::Result<bool> {
         let socket = match bind(&self.settings) {
             Ok(socket) => Rc::new(socket),
@@ -143,11 +147,11 @@
                 Effect::Send { to, bytes } => self.unsent += u64::from(socket.send_to(&bytes, to).is_err()),
                 Effect::Standing { says, term, ago_ms, heard_by: (by, of) } => {
                     let (word, since) = (says.word(), at - ago_ms);
-                    say!(always; { standing = word, term } "fleet: {word} in term {term} since {since:.0}, {by} of {of} answer");
+                    say!(always; { standing = word, term } "fleet: {word} in term {term} since {since:.1}, at {at:.1}; {by} of {of} answer");
                 }
                 Effect::Changed { name, start, term, states: (_, state), why } => {
                     let word = state.word();
-                    say!(always; { router = %name, state = word } "fleet: {name} is {word} at {at:.0} (start {start}, term {term}): {why}");
+                    say!(always; { router = %name, state = word } "fleet: {name} is {word} at {at:.1} (start {start}, term {term}): {why}");
                 }
                 Effect::Stalled(gap) => say!("fleet: this process stood still for {gap:.0} ms until {at:.0}"),
                 Effect::Renamed(start) => {
@@ -182,7 +186,7 @@
         if seat.bind_at.is_some_and(|at| at <= now) {
             let handle = self.handle.clone();
             match seat.try_bind(&handle) {
-                Ok(true) => say!("fleet: this process speaks now"),
+                Ok(true) => say!("fleet: this process speaks now, start {}", seat.start()),
                 Ok(false) => {}
                 Err(e) => {
                     seat.bind_at = Some(now + 20.0 * BIND_MS);
