Cause each failure of membership with real processes: ten tests that wait for states

Change: crates/frostturn-lab/tests/fleet.rs starts 3 to 6 processes with a relay on every directed link: deaths of one, a third, all but one, early and late restarts, a standstill, one that isn't heard, one that doesn't hear, a cut pair, a chain, halves, an upgrade with two processes, half upgraded beside a cut, an address that another had, junk and replays. Orders are asserted from the lines' shared clock, never how long something took.

--- a/crates/frostturn-lab/src/relay.rs
+++ b/crates/frostturn-lab/src/relay.rs
@@ -50,6 +50,7 @@
 #[derive(Debug)]
 pub struct Relays {
     links: Links,
+    listens: Arc<Mutex<Vec<SocketAddr>>>,
     /// Where each sends what is for each other one.
     ways: Vec<Vec<Option<SocketAddr>>>,
     /// Datagrams that passed, and some of the latest.
@@ -99,17 +100,18 @@
             }
         }
         let (over, passed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let heard = Arc::new(Mutex::new(listens.to_vec()));
         let latest = Arc::new(Mutex::new(VecDeque::new()));
         let carried = Carrier {
             links: links.clone(),
-            listens: listens.to_vec(),
+            listens: heard.clone(),
             sockets,
             passed: passed.clone(),
             latest: latest.clone(),
         };
         let ends = over.clone();
         let thread = Some(thread::spawn(move || carried.run(&ends, seed)));
-        Ok(Self { links, ways, passed, latest, over, thread })
+        Ok(Self { links, listens: heard, ways, passed, latest, over, thread })
     }
 
     /// Where one sends what is for another.
@@ -117,6 +119,11 @@
         self.ways[from][to]
     }
 
+    /// From now on that router listens there.
+    pub fn moved(&self, to: usize, listen: SocketAddr) {
+        self.listens.lock().unwrap_or_else(|poisoned| poisoned.into_inner())[to] = listen;
+    }
+
     /// The links, to be changed.
     pub fn links(&self) -> MutexGuard<'_, Vec<Vec<Link>>> {
         self.links.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -132,7 +139,7 @@
 
 struct Carrier {
     links: Links,
-    listens: Vec<SocketAddr>,
+    listens: Arc<Mutex<Vec<SocketAddr>>>,
     sockets: Vec<(usize, usize, UdpSocket)>,
     passed: Arc<AtomicU64>,
     latest: Arc<Mutex<VecDeque<Vec<u8>>>>,
@@ -148,7 +155,8 @@
                 let Some(Held { way, bytes, .. }) = held.pop() else { break };
                 let (_, to, socket) = &self.sockets[way];
                 // One that nobody hears is lost, as on a real link.
-                if socket.send_to(&bytes, self.listens[*to]).is_ok() {
+                let listen = self.listens.lock().unwrap_or_else(|poisoned| poisoned.into_inner())[*to];
+                if socket.send_to(&bytes, listen).is_ok() {
                     self.passed.fetch_add(1, Ordering::Relaxed);
                     let mut latest = self.latest.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
                     latest.push_back(bytes);
--- a/crates/frostturn-lab/src/rig.rs
+++ b/crates/frostturn-lab/src/rig.rs
@@ -128,6 +128,18 @@
         Ok(())
     }
 
+    /// One that doesn't run will listen there from its next start on.
+    pub fn move_to(&mut self, at: usize, listen: SocketAddr) -> Result<(), String> {
+        let slot = &mut self.slots[at];
+        let io = |e: std::io::Error| format!("{}: {e}", slot.operator.display());
+        let text = std::fs::read_to_string(&slot.operator).map_err(io)?;
+        let text = text.replace(&format!("(listen \"{}\")", slot.listen), &format!("(listen \"{listen}\")"));
+        std::fs::write(&slot.operator, text).map_err(io)?;
+        self.relays.moved(at, listen);
+        self.slots[at].listen = listen;
+        Ok(())
+    }
+
     /// Ends one at once.
     pub fn kill(&mut self, at: usize) {
         self.slots[at].process = None;
--- a/crates/frostturn-lab/tests/fleet.rs
+++ b/crates/frostturn-lab/tests/fleet.rs
@@ -1,29 +1,248 @@
-//! Real processes of the program that know each other, and faults between them. Each test waits for states, never for times.
+//! Real processes of the program that know each other, and faults between them. Each test waits for states, never for times,
+//! and asserts orders, never how long something took.
 
-use frostturn::fleet::State::{Alive, Gone};
+use frostturn::fleet::{Path, Says, State};
+use frostturn_lab::fleet::audit;
+use frostturn_lab::fleet::check::{Said, Word};
+use frostturn_lab::relay::Link;
 use frostturn_lab::rig::Rig;
+use std::net::UdpSocket;
 use std::path::PathBuf;
+use State::{Alive, Gone, Left, Suspect};
 
-fn rig(routers: usize) -> Rig {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_frostturn-lab"));
-    let mut rig = Rig::new(2, routers, "", Some(program), 7).expect("a rig");
-    rig.start_all(true).expect("all start");
-    let all: Vec<usize> = (0..routers).collect();
+const CUT: Link = Link { cut: true, lose: 0.0, double: 0.0, delay_ms: 0.0 };
+/// Shorter times than usual, where only states are waited for.
+const QUICK: &str = "(period 200ms) (suspicion 1s 2s)";
+
+fn all(rig: &Rig) -> Vec<usize> {
+    (0..rig.slots.len()).collect()
+}
+
+/// Waits until all that are told stand and see each other.
+fn whole(rig: &Rig, these: &[usize]) {
     rig.until("all know each other", |rig| {
-        all.iter().all(|at| rig.stands(*at, "majority") && rig.sees(*at, &all, Alive))
+        these.iter().all(|at| rig.stands(*at, "majority") && rig.sees(*at, these, Alive))
     })
-    .expect("a fleet");
+    .unwrap();
+}
+
+fn rig(routers: usize, times: &str) -> Rig {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_frostturn-lab"));
+    let mut rig = Rig::new(2, routers, times, Some(program), 7).expect("a rig");
+    rig.start_all(true).expect("all start");
+    whole(&rig, &all(&rig));
     rig
 }
 
+/// All words of one's processes, in order.
+fn words(rig: &Rig, by: usize) -> Vec<Said> {
+    let logs = rig.slots[by].logs.iter().enumerate();
+    logs.flat_map(|(start, log)| audit::read(&std::fs::read_to_string(log).unwrap_or_default(), by, start).0)
+        .collect()
+}
+
+/// When anybody first called one gone.
+fn first_gone(rig: &Rig, one: usize) -> Option<f64> {
+    let gone = |said: &Said| matches!(said.word, Word::Of { other, state: Gone, .. } if other == one);
+    all(rig).iter().flat_map(|by| words(rig, *by)).filter(gone).map(|said| said.at).min_by(f64::total_cmp)
+}
+
+/// When one's standing first ended, by what it said of that.
+fn first_cut_off(rig: &Rig, one: usize) -> Option<f64> {
+    words(rig, one).iter().find_map(|said| match said.word {
+        Word::Standing { says: Says::CutOff, since, .. } => Some(since),
+        _ => None,
+    })
+}
+
+fn path(rig: &Rig, at: usize, of: usize) -> Option<Path> {
+    rig.view(at)?.members.iter().find(|member| member.name == rig.slots[of].name).map(|member| member.path)
+}
+
 #[test]
-fn one_that_dies_is_gone_at_the_others_and_its_next_start_is_taken_at_once() {
-    let mut rig = rig(3);
+fn one_that_dies_is_gone_and_its_next_start_is_taken_at_once_early_or_late() {
+    let mut rig = rig(3, "");
     rig.kill(1);
-    rig.until("the others call it gone", |rig| rig.sees(0, &[1], Gone) && rig.sees(2, &[1], Gone)).unwrap();
+    rig.until("the others call it gone", |rig| [0, 2].iter().all(|at| rig.sees(*at, &[1], Gone))).unwrap();
     rig.spawn(1, true, true).expect("it starts again");
-    rig.until("it is back", |rig| {
-        rig.stands(1, "majority") && (0..3).all(|at| rig.sees(at, &[0, 1, 2], Alive))
+    whole(&rig, &[0, 1, 2]);
+    let before = rig.view(0).unwrap().members[0].start.clone();
+    rig.kill(1);
+    rig.spawn(1, true, true).expect("and at once again");
+    rig.until("its new start is known", |rig| rig.view(0).is_some_and(|view| view.members[0].start > before))
+        .unwrap();
+    whole(&rig, &[0, 1, 2]);
+}
+
+#[test]
+fn a_third_dies_at_once_then_all_but_one_which_calls_nobody_gone_and_all_come_back() {
+    let mut rig = rig(6, QUICK);
+    [1, 2].iter().for_each(|one| rig.kill(*one));
+    rig.until("four call two gone", |rig| {
+        [0, 3, 4, 5].iter().all(|at| rig.sees(*at, &[1, 2], Gone) && rig.stands(*at, "majority"))
     })
     .unwrap();
+    [3, 4, 5].iter().for_each(|one| rig.kill(*one));
+    rig.until("the last one knows that it is alone", |rig| {
+        rig.stands(0, "cut-off") && rig.sees(0, &[3, 4, 5], Suspect)
+    })
+    .unwrap();
+    rig.start_all(true).expect("all start again");
+    whole(&rig, &all(&rig));
+    assert!([3, 4, 5].iter().all(|one| first_gone(&rig, *one).is_none()), "by one that was cut off itself");
+}
+
+#[test]
+fn one_that_stands_still_is_gone_knows_it_when_it_wakes_and_is_back_without_a_restart() {
+    let rig = rig(5, QUICK);
+    rig.pause(3, true);
+    rig.until("the others call it gone", |rig| [0, 1, 2, 4].iter().all(|at| rig.sees(*at, &[3], Gone)))
+        .unwrap();
+    rig.pause(3, false);
+    whole(&rig, &all(&rig));
+    let (knew, gone) = (first_cut_off(&rig, 3).expect("it says so"), first_gone(&rig, 3).expect("by all"));
+    assert!(knew < gone, "it was cut off from {knew} on, and called gone at {gone}");
+    let log = rig.log(3);
+    assert!(log.contains("stood still for"), "{log}");
+}
+
+#[test]
+fn one_that_is_not_heard_knows_it_first_and_one_that_does_not_hear_is_cut_off_and_not_gone() {
+    let rig = rig(5, QUICK);
+    rig.links(CUT, |from, _| from == 2);
+    rig.until("it is gone, and cut off", |rig| {
+        rig.stands(2, "cut-off") && [0, 1, 3, 4].iter().all(|at| rig.sees(*at, &[2], Gone))
+    })
+    .unwrap();
+    assert!(
+        first_cut_off(&rig, 2) < first_gone(&rig, 2),
+        "{:?} {:?}",
+        first_cut_off(&rig, 2),
+        first_gone(&rig, 2)
+    );
+    rig.until("it hears them, one way", |rig| path(rig, 2, 0) == Some(Path::OneWay)).unwrap();
+    rig.links(Link::default(), |_, _| true);
+    whole(&rig, &all(&rig));
+    rig.links(CUT, |_, to| to == 4);
+    rig.until("it is cut off, and heard", |rig| {
+        rig.stands(4, "cut-off") && [0, 1, 2, 3].iter().all(|at| path(rig, *at, 4) == Some(Path::OneWay))
+    })
+    .unwrap();
+    assert!([0, 1, 2, 3].iter().all(|at| rig.sees(*at, &[4], Alive) && rig.stands(*at, "majority")));
+    assert_eq!(first_gone(&rig, 4), None);
+    rig.links(Link::default(), |_, _| true);
+    whole(&rig, &all(&rig));
+}
+
+#[test]
+fn what_only_helpers_can_carry_keeps_all_alive_a_cut_pair_and_a_chain() {
+    let rig = rig(5, "");
+    rig.links(CUT, |from, to| (from, to) == (0, 1));
+    rig.until("the pair sees that it is one-sided", |rig| {
+        path(rig, 0, 1) == Some(Path::OneWay) && path(rig, 1, 0) == Some(Path::OneWay)
+    })
+    .unwrap();
+    rig.links(Link::default(), |_, _| true);
+    rig.links(CUT, |from, to| from.abs_diff(to) > 1);
+    rig.until("the ends hear each other through others", |rig| {
+        path(rig, 0, 4) == Some(Path::Relayed) && path(rig, 4, 0) == Some(Path::Relayed)
+    })
+    .unwrap();
+    whole(&rig, &all(&rig));
+    assert!(all(&rig)
+        .iter()
+        .all(|one| first_gone(&rig, *one).is_none() && first_cut_off(&rig, *one).is_none()));
+}
+
+#[test]
+fn halves_stand_still_call_nobody_gone_and_are_whole_again_after_the_cut() {
+    let rig = rig(6, QUICK);
+    rig.links(CUT, |from, to| (from < 3) != (to < 3));
+    rig.until("no half stands", |rig| {
+        (0..3).all(|at| rig.stands(at, "cut-off") && rig.sees(at, &[3, 4, 5], Suspect))
+            && (3..6).all(|at| rig.stands(at, "cut-off") && rig.sees(at, &[0, 1, 2], Suspect))
+    })
+    .unwrap();
+    rig.links(Link::default(), |_, _| true);
+    whole(&rig, &all(&rig));
+    assert!(all(&rig).iter().all(|one| first_gone(&rig, *one).is_none()));
+}
+
+#[test]
+fn a_new_version_is_the_same_member_and_one_that_ends_says_so() {
+    let mut rig = rig(3, "");
+    let before = rig.view(0).unwrap().members[0].start.clone();
+    let old = rig.spawn(1, true, true).expect("beside the old one").expect("there was one");
+    old.terminate();
+    rig.until("the new one speaks", |rig| rig.view(0).is_some_and(|view| view.members[0].start > before))
+        .unwrap();
+    assert!(old.ended());
+    whole(&rig, &[0, 1, 2]);
+    let blinked = |said: &Said| matches!(said.word, Word::Of { other: 1, state, .. } if state != Alive);
+    assert!(![0, 2].iter().flat_map(|by| words(&rig, *by)).any(|said| blinked(&said)), "{}", rig.log(0));
+    // With nobody beside it, it says that it ends, and is not waited for.
+    let last = rig.slots[1].process.take().expect("it runs");
+    last.terminate();
+    rig.until("it has left", |rig| [0, 2].iter().all(|at| rig.sees(*at, &[1], Left))).unwrap();
+    assert!(last.ended());
+}
+
+#[test]
+fn half_are_upgraded_while_one_is_cut_off() {
+    let mut rig = rig(5, QUICK);
+    rig.links(CUT, |from, to| (from == 4) != (to == 4));
+    rig.until("one is gone", |rig| (0..4).all(|at| rig.sees(at, &[4], Gone)) && rig.stands(4, "cut-off"))
+        .unwrap();
+    for one in [0, 1] {
+        let old = rig.spawn(one, true, true).expect("beside the old one").expect("there was one");
+        old.terminate();
+        rig.until("the new one speaks", |rig| rig.stands(one, "majority")).unwrap();
+        assert!(old.ended());
+    }
+    // New starts have never heard the one behind the cut, and call it gone all the same.
+    rig.until("the new ones say so too", |rig| (0..4).all(|at| rig.sees(at, &[4], Gone))).unwrap();
+    rig.links(Link::default(), |_, _| true);
+    whole(&rig, &all(&rig));
+}
+
+#[test]
+fn an_address_that_another_had_brings_nobody_back() {
+    let mut rig = rig(4, QUICK);
+    [1, 2].iter().for_each(|one| rig.kill(*one));
+    let (one, two) = (rig.slots[1].listen, rig.slots[2].listen);
+    // The second now listens where the first did, and whatever was for the first still goes there.
+    rig.move_to(2, one).unwrap();
+    rig.spawn(2, true, true).expect("it starts");
+    rig.until("three are whole, one is gone", |rig| {
+        [0, 2, 3].iter().all(|at| rig.sees(*at, &[0, 2, 3], Alive) && rig.sees(*at, &[1], Gone))
+    })
+    .unwrap();
+    rig.move_to(1, two).unwrap();
+    rig.spawn(1, true, true).expect("it starts");
+    whole(&rig, &all(&rig));
+}
+
+#[test]
+fn junk_in_plenty_is_counted_and_changes_nothing() {
+    let rig = rig(3, "");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let real: Vec<Vec<u8>> = rig.relays.latest.lock().unwrap().iter().cloned().collect();
+    assert!(!real.is_empty());
+    for round in 0..20_000usize {
+        let mut bytes = real[round % real.len()].clone();
+        match round % 4 {
+            0 => bytes.truncate(round % 40),
+            1 => bytes[round % 19] ^= 0x55,
+            2 => bytes = vec![round as u8; round % 1400],
+            _ => {} // Replayed as it was.
+        }
+        let _ = socket.send_to(&bytes, rig.slots[round % 3].listen); // Some may find no room.
+    }
+    whole(&rig, &[0, 1, 2]);
+    let status = |at: usize| {
+        let ops = rig.slots[at].process.as_ref().and_then(|one| one.ops).expect("it runs");
+        format!("{:?}", frostturn_lab::daemon::call(ops, &frostturn::ops::Call::Telemetry))
+    };
+    rig.until("it is counted", |_| !status(0).contains("\\\"refused\\\":0,")).unwrap();
+    assert!((0..3).all(|one| first_gone(&rig, one).is_none()));
 }
