Have a start without memory refuse every term until it has been heard

Cause: found by reading the proof again for a larger design: a start without memory refused the first term that it met. Words that were late on their way could name an earlier term than the one that the start before it had given up, so that the new start would answer the given-up term, and a router called gone might stand.

Change: each term met is refused until the other's words tell that it has heard this start: those were said after it began, so their term is no earlier than any that was given up before. And nobody's refusal counts beyond what was asked for.

--- a/crates/frostturn-lab/src/fleet/sim.rs
+++ b/crates/frostturn-lab/src/fleet/sim.rs
@@ -306,6 +306,19 @@
         (judge(&Truth::new(0.0, &done, starts, SPAN_MS), &said), cost)
     }
 
+    #[test]
+    #[ignore]
+    fn sizes() {
+        for routers in [12, 16, 24, 32, 48, 64] {
+            for seed in 0..6 {
+                let (figures, cost) = played(seed, routers);
+                let bounds: Vec<String> =
+                    figures.bounds().iter().map(|b| format!("{:.0}", b.value)).collect();
+                println!("{routers} seed {seed}: {} {cost:.1?} {}", bounds.join(" "), figures.samples());
+            }
+        }
+    }
+
     #[test]
     fn drawn_faults_keep_every_bound_at_twelve_routers() {
         let mut bad = Vec::new();
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -107,6 +107,8 @@
     /// Terms that this router answers no more, and those it has given up for silence. Both only grow while it is one start.
     pub refused: u32,
     pub voted: u32,
+    /// It has said that it heard this start, and what it said then is refused: see `Fleet::meet`.
+    pub met: bool,
     /// Given up before it was ever heard.
     pub unheard_voted: bool,
     /// The term of the start that was called gone.
@@ -134,6 +136,7 @@
             direct_beat: 0,
             refused: 0,
             voted: 0,
+            met: false,
             unheard_voted: false,
             gone_term: None,
             state: State::Joining,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! - *Who is called gone knew before that it was cut off.* A router is called gone (`Fleet::verdict`) when `blocking` others have
 //!   given up its term for a silence of at least `refuse_ms` (`Fleet::judge`), which binds them: they answer that term never again
-//!   (`Heard::refused`; a start without memory refuses the first term that it meets, `Fleet::meet`). What they answered before was
+//!   (`Heard::refused`; a start without memory refuses what it meets until it has been heard, `Member::met`). What they answered before was
 //!   sent before the silence, so it is older than `lease_ms` and counts no more (`Ledger::behind`). Whoever is left is no majority.
 //! - *No word about or from an earlier start counts* (`Fleet::accept`: starts only grow; `Heard::tag`).
 //! - *A term that has ended never comes back* (`Ledger::settle`).
@@ -266,6 +266,11 @@
         if let Some(Heard { beat, refused, direct, .. }) = mine.copied() {
             self.ledger.note(at, Answer { beat, refused, direct }, now - self.born);
         }
+        if !member.met {
+            // The start before this one may have given up any term that the other had until it heard of this start. What is
+            // late on its way may name an earlier one: so the first term counts that comes with word of this start.
+            (member.refused, member.met) = (member.refused.max(row.term), mine.is_some());
+        }
         if direct {
             // One that has not heard this router for long, or not this start, is answered out of turn.
             let lag = mine.map_or(f64::INFINITY, |heard| now - self.born - f64::from(heard.beat) * BEAT_MS);
@@ -294,10 +299,9 @@
     fn meet(&mut self, at: usize, row: &Row, direct: bool, heard_at: Millis) {
         self.ledger.forget(at);
         let member = &mut self.members[at];
-        // A router that has seen the start before knows all that it ever answered of it. One that hasn't may itself be a start
-        // without memory, and the one before it may have given this very term up.
+        // A router that hears of a later start than it knew of knows all that it ever answered of that one: nothing.
         let unknown = member.row.is_none();
-        member.refused = if unknown { row.term } else { 0 };
+        (member.refused, member.met) = (0, !unknown);
         (member.voted, member.unheard_voted, member.gone_term) = (0, false, None);
         if !direct {
             (member.direct_at, member.direct_beat) = (None, 0);
@@ -654,13 +658,22 @@
     }
 
     #[test]
-    fn a_start_without_memory_refuses_the_first_term_that_it_meets() {
+    fn a_start_without_memory_refuses_what_it_meets_until_it_has_been_heard() {
         let mut fleet = fleet();
-        let mut met = row("n1", 500, 0.0, &fleet, None);
-        met.term = 7;
-        hear(&mut fleet, 0.0, met).expect("news");
-        let own = fleet.row(10.0);
-        assert_eq!(own.heard[0].refused, 7, "the start before this one may have given it up");
+        let mut met = |beat_ms: Millis, term: u32, heard: bool| {
+            let mut row = row("n1", 500, beat_ms, &fleet, None);
+            row.term = term;
+            if !heard {
+                row.heard.clear();
+            }
+            hear(&mut fleet, 1000.0, row).expect("news");
+            fleet.row(1000.0).heard[0].refused
+        };
+        // The start before this one may have given up 7: words from before, late on their way, say nothing of that.
+        assert_eq!(met(100.0, 3, false), 3);
+        assert_eq!(met(300.0, 7, false), 7);
+        assert_eq!(met(500.0, 7, true), 7);
+        assert_eq!(met(600.0, 8, true), 7, "and answers the next");
     }
 
     #[test]
--- a/src/fleet/standing.rs
+++ b/src/fleet/standing.rs
@@ -63,6 +63,8 @@
         if f64::from(answer.beat) * BEAT_MS > now {
             return;
         }
+        // Nobody refuses what was never asked for.
+        let answer = Answer { refused: answer.refused.min(self.wanted), ..answer };
         let known = &mut self.answers[of];
         match known {
             Some(known) if (answer.beat, answer.refused) < (known.beat, known.refused) => {}
