--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -2,8 +2,10 @@
 
 use super::settings::Id;
 use super::settings::PeerAt;
-use super::wire::{Row, Says};
+use super::wire::{GivenUp, Row, Says};
 use crate::api::Millis;
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 /// What another router is taken for.
@@ -111,11 +113,19 @@
     pub met: bool,
     /// Given up before it was ever heard.
     pub unheard_voted: bool,
+    /// This router's clock when it last said that it had given it up unheard, in beats.
+    pub claimed: u32,
+    /// Who has given up its latest term that anybody has.
+    pub given_up: Option<GivenUp>,
     /// The term of the start that was called gone.
     pub gone_term: Option<u32>,
     pub state: State,
     pub since: Millis,
     pub why: String,
+    /// The latest words of each other one that were sent to it: bounded by the routers of the file.
+    pub told: BTreeMap<usize, (u64, u32)>,
+    /// It was asked, out of turn, why it is silent.
+    pub asked: bool,
     /// It is owed a datagram out of turn.
     pub owed: bool,
     /// When it was last sent to.
@@ -138,10 +148,14 @@
             voted: 0,
             met: false,
             unheard_voted: false,
+            claimed: 0,
+            given_up: None,
             gone_term: None,
             state: State::Joining,
             since: now,
             why: "not heard yet".to_owned(),
+            told: BTreeMap::new(),
+            asked: false,
             owed: true,
             sent_at: f64::NEG_INFINITY,
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -35,17 +35,24 @@
 use standing::{Answer, Ledger, BEAT_MS};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use wire::{Heard, Row};
+use wire::{GivenUp, Heard, Packet, Row};
 
-/// Datagrams that one router sends in a second, at most, and at once.
-const SENDS_PER_S: f64 = 12.0;
+/// Datagrams that one router sends in a second, at most, and at once: together no more than 12 a second over half a minute.
+const SENDS_PER_S: f64 = 11.5;
+const SENDS_AT_ONCE: f64 = 12.0;
 /// One turn of so many is for those who are not heard.
 const FAR_EVERY: u64 = 5;
 
 /// And of so many while no majority answers: those who aren't heard may be the ones that are missing.
 const FAR_EVERY_ALONE: u64 = 2;
-/// What another one lacks is taken along once it is older than this part of a round: its own datagram may be lost.
-const SPARE: f64 = 0.75;
+/// Part of the silence that makes a suspect after which a router is asked, and answers, out of turn.
+const ASK: f64 = 0.7;
+/// Others that a datagram speaks of: the missed ones, and of the rest by turns; and the missed ones in words that it takes along.
+const LOUD: usize = 16;
+const WORDS: usize = 11;
+const LOUD_RELAYED: usize = 2;
+/// Missed routers of which a datagram tells who has given them up.
+const GIVEN_UP: usize = 8;
 /// Part that the latest words have in the usual age of a router's words.
 const AGE_PART: f64 = 0.2;
 
@@ -102,6 +109,19 @@
     pub refused: BTreeMap<Refused, u64>,
 }
 
+/// Later words of one start of a router: what they don't speak of stays as it was.
+fn merged(known: Option<Row>, mut row: Row, roster: impl Fn(Id) -> bool) -> Row {
+    row.heard.retain(|heard| roster(heard.of));
+    if let Some(known) = known.filter(|known| known.start == row.start) {
+        for old in known.heard {
+            if !row.heard.iter().any(|new| new.of == old.of) {
+                row.heard.push(old);
+            }
+        }
+    }
+    row
+}
+
 /// One router's picture of the fleet.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -116,9 +136,14 @@
     patience: Patience,
     members: Vec<Member>,
     index: BTreeMap<Id, usize>,
+    /// All ids in order, this router's among them, and a hash of them.
+    roster: Vec<Id>,
+    roster_tag: u32,
     /// Whose turn is next: among those whose datagrams come, and among the rest.
     next: [usize; 2],
     turns: u64,
+    /// Where the words about the rest go on.
+    window: usize,
     turn_at: Millis,
     tokens: f64,
     tokens_at: Millis,
@@ -143,7 +168,12 @@
                 "the fleet has two names that datagrams can't tell apart; {name} is one, or two peers"
             ));
         }
+        let mut roster: Vec<Id> = index.keys().copied().chain([id]).collect();
+        roster.sort_unstable();
+        let bytes: Vec<u8> = roster.iter().flat_map(|id| id.0).collect();
         Ok(Self {
+            roster_tag: twox_hash::XxHash64::oneshot(3, &bytes) as u32,
+            roster,
             ledger: Ledger::new(members.len(), set.majority(), set.lease_ms()),
             patience: Patience::new(set.turn_ms(), set.period_ms, now),
             name: name.to_owned(),
@@ -153,10 +183,11 @@
             says: (Says::Joining, 0),
             next: [seed as usize % members.len().max(1); 2],
             turns: 0,
+            window: 0,
             members,
             index,
             turn_at: now,
-            tokens: SENDS_PER_S,
+            tokens: SENDS_AT_ONCE,
             tokens_at: now,
             leaves: false,
             effects: Vec::new(),
@@ -215,6 +246,9 @@
         if packet.to_start > self.start {
             self.rename(packet.to_start, now);
         }
+        if packet.roster == self.roster_tag {
+            packet.given_up.iter().for_each(|given_up| self.note_given_up(given_up));
+        }
         let mut fresh = false;
         for (at, row) in packet.rows.into_iter().enumerate() {
             fresh |= self.accept(row, at == 0, now);
@@ -258,6 +292,7 @@
             self.meet(at, &row, direct, now - age);
         }
         let member = &mut self.members[at];
+        member.asked = false;
         member.known_at = member.known_at.max(now - age);
         member.heard_at = member.heard_at.max(now - age);
         member.usual_age += AGE_PART * (age - member.usual_age);
@@ -269,15 +304,17 @@
         if !member.met {
             // The start before this one may have given up any term that the other had until it heard of this start. What is
             // late on its way may name an earlier one: so the first term counts that comes with word of this start.
-            (member.refused, member.met) = (member.refused.max(row.term), mine.is_some());
+            let met = mine.is_some_and(|heard| heard.beat >= member.claimed);
+            (member.refused, member.met) = (member.refused.max(row.term), met);
         }
         if direct {
             // One that has not heard this router for long, or not this start, is answered out of turn.
             let lag = mine.map_or(f64::INFINITY, |heard| now - self.born - f64::from(heard.beat) * BEAT_MS);
-            member.owed |= lag > self.set.round_ms() + self.set.period_ms || row.says != Says::Majority;
+            member.owed |= lag > ASK * self.set.suspect_ms() || row.says != Says::Majority;
         }
         let (term, says) = (row.term, row.says);
-        member.row = Some(row);
+        let (known, index) = (member.row.take(), &self.index);
+        member.row = Some(merged(known, row, |of| index.contains_key(&of) || of == self.id));
         if says == Says::Left {
             self.change(at, State::Left, now, "it has said that it ends".to_owned());
         } else {
@@ -302,7 +339,8 @@
         // A router that hears of a later start than it knew of knows all that it ever answered of that one: nothing.
         let unknown = member.row.is_none();
         (member.refused, member.met) = (0, !unknown);
-        (member.voted, member.unheard_voted, member.gone_term) = (0, false, None);
+        (member.voted, member.unheard_voted, member.gone_term, member.given_up) = (0, false, None, None);
+        member.told.clear();
         if !direct {
             (member.direct_at, member.direct_beat) = (None, 0);
         }
@@ -376,6 +414,11 @@
         let limit = self.set.suspect_ms() + usual + self.patience.late_ms();
         let silent = member.silent(now);
         if silent < limit {
+            // Before it is suspected it is asked, once: it answers at once.
+            let member = &mut self.members[at];
+            if silent > ASK * self.set.suspect_ms() && !member.asked {
+                (member.asked, member.owed) = (true, true);
+            }
             return;
         }
         if member.state != State::Suspect {
@@ -391,27 +434,54 @@
         }
         let member = &self.members[at];
         let others = self.heard_of(at).filter(|(_, heard)| heard.suspect).count();
-        let suspicion = patience::suspicion(self.set.suspicion_ms, others);
+        let suspicion = patience::suspicion(self.set.suspicion_ms, others) + self.set.more_ms();
         if silent < limit + suspicion {
             return;
         }
-        let term = member.term();
+        let (of, term) = (member.id, member.term());
+        let by = 1 << self.place(self.id);
         let member = &mut self.members[at];
         member.voted = member.voted.max(term);
         member.refused = member.refused.max(term);
         member.unheard_voted |= member.row.is_none();
+        if member.row.is_some() {
+            let tag = wire::tag(member.start());
+            self.note_given_up(&GivenUp { of, tag, term, by });
+        }
         self.verdict(at, now);
     }
 
+    /// One's place in the roster.
+    fn place(&self, id: Id) -> usize {
+        self.roster.binary_search(&id).unwrap_or(0)
+    }
+
+    /// Words of who has given up whom: joined to what is known of that start and term, or put in place of an earlier one's.
+    fn note_given_up(&mut self, new: &GivenUp) {
+        let Some(member) = self.index.get(&new.of).map(|at| &mut self.members[*at]) else { return };
+        match &mut member.given_up {
+            Some(known) if (known.tag, known.term) == (new.tag, new.term) => known.by |= new.by,
+            Some(known) if known.tag == new.tag && known.term > new.term => {}
+            // Of which of two starts is told by its own words only.
+            _ if member.row.as_ref().is_some_and(|row| wire::tag(row.start) != new.tag) => {}
+            known => *known = Some(*new),
+        }
+    }
+
     /// Gone, if so many have given up the term that no majority is left to answer it.
     fn verdict(&mut self, at: usize, now: Millis) {
         let member = &self.members[at];
-        let (start, term) = (wire::tag(member.start()), member.term());
-        let gave_up = |(_, heard): &(usize, Heard)| {
-            let same = heard.tag == start || heard.tag == 0 || start == 0;
-            heard.suspect && same && heard.voted >= term.max(1)
-        };
-        let voters = 1 + self.heard_of(at).filter(gave_up).count();
+        let (tag, term) = (wire::tag(member.start()), member.term());
+        let told = member.given_up.filter(|told| told.term >= term && (told.tag == tag || tag == 0));
+        let mut by = told.map_or(0, |told| told.by) | 1 << self.place(self.id);
+        for (other, heard) in self.heard_of(at) {
+            // One that has never heard it says so anew each time: what it said lately binds it for all terms until then.
+            let unheard = heard.tag == 0 && self.members[other].silent(now) < self.set.suspect_ms();
+            if heard.suspect && heard.voted >= term.max(1) && (heard.tag == tag || tag == 0 || unheard) {
+                by |= 1 << self.place(self.members[other].id);
+            }
+        }
+        let voters = by.count_ones() as usize;
         if voters < self.set.blocking() {
             return;
         }
@@ -433,7 +503,7 @@
     }
 
     fn send_due(&mut self, now: Millis) {
-        self.tokens = (self.tokens + (now - self.tokens_at).max(0.0) * SENDS_PER_S / 1e3).min(SENDS_PER_S);
+        self.tokens = (self.tokens + (now - self.tokens_at).max(0.0) * SENDS_PER_S / 1e3).min(SENDS_AT_ONCE);
         self.tokens_at = now;
         let turn_ms = self.set.turn_ms();
         // Turns that were missed are made up for, as far as one period goes.
@@ -483,45 +553,85 @@
 
     fn send(&mut self, at: usize, now: Millis) {
         self.tokens -= 1.0;
-        let own = self.row(now);
+        let own = self.row(at, now);
         let to = &self.members[at];
-        let mut others: Vec<(f64, &Member, &Row)> = self
+        // The newest first: what is new here travels on at once, and everybody has something else that is new.
+        let mut news: Vec<(usize, &Member, &Row)> = self
             .members
             .iter()
             .enumerate()
             .filter(|(other, _)| *other != at)
-            .filter_map(|(_, member)| {
-                let row = member.row.as_ref()?;
-                let known =
-                    to.row.as_ref().and_then(|row| row.heard.iter().find(|heard| heard.of == member.id));
-                let known = known.filter(|known| known.tag == wire::tag(row.start));
-                // One that hears it itself will do so again in a round.
-                let spare = match known {
-                    Some(known) if known.direct => SPARE * self.set.round_ms(),
-                    _ => 0.0,
-                };
-                let lag =
-                    known.map_or(f64::MAX, |known| (f64::from(row.beat) - f64::from(known.beat)) * BEAT_MS);
-                (lag > spare).then_some((lag, member, row))
-            })
+            .filter_map(|(other, member)| Some((other, member, member.row.as_ref()?)))
+            .filter(|(other, _, row)| to.told.get(other) != Some(&(row.start, row.beat)))
             .collect();
-        others.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let aged = others.into_iter().map(|(_, member, row)| {
+        news.sort_by(|a, b| b.1.known_at.total_cmp(&a.1.known_at));
+        // And between each two of these one by turns, so that none is left out for long.
+        let (from, count) = (self.turns as usize * 7, news.len().max(1));
+        let by_turns: Vec<usize> = (0..news.len()).map(|step| (from + step) % count).collect();
+        let mut taken = vec![false; news.len()];
+        let order: Vec<usize> = (0..news.len()).flat_map(|at| [at, by_turns[at]]).collect();
+        let order = order.into_iter().filter(|at| !std::mem::replace(&mut taken[*at], true));
+        let news: Vec<(usize, &Member, &Row)> = order.map(|at| news[at]).collect();
+        let relayed = news.iter().map(|(_, member, row)| {
             let age = (now - member.known_at).clamp(0.0, f64::from(u16::MAX)) as u16;
-            Row { age, ..row.clone() }
+            // What it says of the one that this is for, and whom it misses.
+            let loud = row.heard.iter().filter(|heard| heard.suspect && heard.of != to.id).take(LOUD_RELAYED);
+            let heard = row.heard.iter().filter(|heard| heard.of == to.id).chain(loud).copied().collect();
+            Row { age, heard, ..(*row).clone() }
         });
-        let bytes = wire::write(&self.set.fleet, to.id, to.start(), own, aged);
+        let given_up = self.given_up_by_turns();
+        let packet =
+            Packet { to: to.id, to_start: to.start(), roster: self.roster_tag, rows: vec![own], given_up };
+        let (bytes, went) = wire::write(&self.set.fleet, packet, relayed);
+        let told: Vec<(usize, (u64, u32))> =
+            news.iter().take(went).map(|(other, _, row)| (*other, (row.start, row.beat))).collect();
         let to = to.at.address;
         let member = &mut self.members[at];
+        member.told.extend(told);
         (member.owed, member.sent_at) = (false, now);
         self.counts.sent += 1;
         self.counts.sent_bytes += bytes.len() as u64;
         self.effects.push(Effect::Send { to, bytes });
     }
 
-    /// This router's own words.
-    fn row(&self, now: Millis) -> Row {
-        let heard = |(at, member): (usize, &Member)| Heard {
+    /// Who has given up those that are missed, as far as is known here, some at a time.
+    fn given_up_by_turns(&self) -> Vec<GivenUp> {
+        let missed = self.members.iter().filter(|member| member.state == State::Suspect);
+        let all: Vec<GivenUp> = missed.filter_map(|member| member.given_up).collect();
+        let from = (self.turns as usize * GIVEN_UP) % all.len().max(1);
+        all.iter().cycle().skip(from).take(all.len().min(GIVEN_UP)).copied().collect()
+    }
+
+    /// This router's own words for another one: of that one itself, of those that are missed, and of the rest by turns.
+    fn row(&mut self, to: usize, now: Millis) -> Row {
+        let count = self.members.len();
+        let first = self.window;
+        self.window = (first + WORDS) % count.max(1);
+        let missed = |at: &usize| matches!(self.members[*at].state, State::Suspect | State::Gone);
+        let ring = (0..count).map(|step| (first + step) % count).filter(|at| *at != to);
+        let (loud, rest): (Vec<usize>, Vec<usize>) = ring.partition(missed);
+        let of = std::iter::once(to).chain(loud.into_iter().take(LOUD)).chain(rest.into_iter().take(WORDS));
+        let of: Vec<usize> = of.collect();
+        let heard = of.iter().map(|at| self.heard_here(*at, now)).collect();
+        let beat = ((now - self.born).max(0.0) / BEAT_MS) as u32;
+        for at in of {
+            let member = &mut self.members[at];
+            member.claimed = if member.unheard_voted { beat } else { member.claimed };
+        }
+        Row {
+            who: self.id,
+            start: self.start,
+            term: self.ledger.wanted(),
+            beat,
+            age: 0,
+            says: if self.leaves { Says::Left } else { self.ledger.says(now - self.born) },
+            heard,
+        }
+    }
+
+    fn heard_here(&self, at: usize, now: Millis) -> Heard {
+        let member = &self.members[at];
+        Heard {
             of: member.id,
             tag: wire::tag(member.start()),
             beat: member.beat(),
@@ -529,15 +639,6 @@
             voted: member.voted.max(u32::from(member.unheard_voted)),
             suspect: matches!(member.state, State::Suspect | State::Gone),
             direct: self.hears(at, now),
-        };
-        Row {
-            who: self.id,
-            start: self.start,
-            term: self.ledger.wanted(),
-            beat: ((now - self.born).max(0.0) / BEAT_MS) as u32,
-            age: 0,
-            says: if self.leaves { Says::Left } else { self.ledger.says(now - self.born) },
-            heard: self.members.iter().enumerate().map(heard).collect(),
         }
     }
 
@@ -592,8 +693,13 @@
         Row { who: Id::of(who), start, term: 1, beat, age: 0, says: Says::Majority, heard }
     }
 
+    fn datagram(to: &str, to_start: u64, row: Row) -> Vec<u8> {
+        let packet = Packet { to: Id::of(to), to_start, roster: 0, rows: vec![row], given_up: Vec::new() };
+        wire::write("north", packet, std::iter::empty()).0
+    }
+
     fn hear(fleet: &mut Fleet, now: Millis, row: Row) -> Result<(), Refused> {
-        let bytes = wire::write("north", Id::of(ME), fleet.start, row, std::iter::empty());
+        let bytes = datagram(ME, fleet.start, row);
         fleet.heard(now, &bytes)
     }
 
@@ -667,7 +773,7 @@
                 row.heard.clear();
             }
             hear(&mut fleet, 1000.0, row).expect("news");
-            fleet.row(1000.0).heard[0].refused
+            fleet.row(0, 1000.0).heard[0].refused
         };
         // The start before this one may have given up 7: words from before, late on their way, say nothing of that.
         assert_eq!(met(100.0, 3, false), 3);
@@ -682,7 +788,7 @@
         play(&mut fleet, 0.0, 300.0, None);
         assert_eq!(fleet.standing(300.0).0, Says::Majority);
         let row = row("n2", 5, 400.0, &fleet, None);
-        let bytes = wire::write("north", Id::of(ME), 5000, row, std::iter::empty());
+        let bytes = datagram(ME, 5000, row);
         fleet.heard(400.0, &bytes).expect("news");
         assert_eq!((fleet.start(), fleet.standing(400.0).0), (5001, Says::CutOff));
         play(&mut fleet, 500.0, 800.0, None);
@@ -693,11 +799,11 @@
     fn datagrams_for_others_of_strangers_and_heard_before_are_refused_and_counted() {
         let mut fleet = fleet();
         let good = row("n1", 500, 10.0, &fleet, None);
-        let bytes = wire::write("north", Id::of(ME), 0, good.clone(), std::iter::empty());
+        let bytes = datagram(ME, 0, good.clone());
         assert_eq!(fleet.heard(10.0, &bytes), Ok(()));
         assert_eq!(fleet.heard(20.0, &bytes), Err(Refused::Stale));
         let mut write = |to: &str, row: &Row| {
-            let bytes = wire::write("north", Id::of(to), 0, row.clone(), std::iter::empty());
+            let bytes = datagram(to, 0, row.clone());
             fleet.heard(30.0, &bytes)
         };
         assert_eq!(write("n2", &good), Err(Refused::Stranger), "it is for another one");
@@ -737,7 +843,7 @@
                 }
                 let _ = fleet.view(now);
             }
-            sent <= SENDS_PER_S * (1.0 + now / 1e3)
+            sent <= SENDS_AT_ONCE + SENDS_PER_S * now / 1e3
         }
         QuickCheck::new()
             .rng(Gen::from_size_and_seed(80, 22))
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -82,7 +82,9 @@
 
     /// Silence after which a router that is heard directly is suspected.
     pub fn suspect_ms(&self) -> Millis {
-        3.3 * self.period_ms + self.turn_ms() * self.peers.len().saturating_sub(11) as f64
+        // In a large fleet the newest words of some come later than those of most.
+        let more = 0.03 * self.peers.len().saturating_sub(11) as f64;
+        (3.3 + more.min(1.0)) * self.period_ms
     }
 
     /// A router is heard directly if one of its own datagrams has come within this.
@@ -92,7 +94,13 @@
 
     /// Least silence after which a router stops answering another one, by its own clock.
     pub fn refuse_ms(&self) -> Millis {
-        self.suspect_ms() + self.suspicion_ms[0]
+        // In a large fleet answers of a majority come more slowly, so they must count for longer.
+        self.suspect_ms() + self.suspicion_ms[0] + self.more_ms()
+    }
+
+    /// What is added to the least suspicion, as datagrams go to more than a dozen by turns.
+    pub fn more_ms(&self) -> Millis {
+        0.4 * self.turn_ms() * self.peers.len().saturating_sub(11) as f64
     }
 
     /// How long an answer counts, from when what it answers was sent, by the clock of the one that sent it. Shorter than
