Bind a claim on one never heard from when it counts here, not from when it is told

Found by reading the whole change again: Fleet::judge counted this router's own claim that it had given up one it never heard, but Member::claimed was set only when the next datagram left, so words said before the claim could have taken it back. The claim binds from the moment it counts. The pure tests, the model and the simulated fleets pass as before; no test shows the gap itself.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -441,8 +441,11 @@
         let member = &mut self.members[at];
         member.voted = member.voted.max(term);
         member.refused = member.refused.max(term);
-        member.unheard_voted |= member.row.is_none();
-        if member.row.is_some() {
+        if member.row.is_none() {
+            // Counted here from now on, told with the next datagram: words from before don't take it back.
+            member.unheard_voted = true;
+            member.claimed = ((now - self.born).max(0.0) / BEAT_MS) as u32;
+        } else {
             let tag = wire::tag(member.start());
             self.note_given_up(&GivenUp { of, tag, term, by });
         }
