--- a/crates/frostturn-lab/src/fleet/check.rs
+++ b/crates/frostturn-lab/src/fleet/check.rs
@@ -304,18 +304,27 @@
     }
 }
 
+/// What each said of each other one, in order of time: in a large fleet there is too much to look through all for each.
+type ByPair = BTreeMap<(usize, usize), Vec<(Millis, State)>>;
+
+fn by_pair(said: &[Said]) -> ByPair {
+    let mut all = ByPair::new();
+    for one in said {
+        if let Word::Of { other, state, .. } = one.word {
+            all.entry((one.by, other)).or_default().push((one.at, state));
+        }
+    }
+    all
+}
+
 /// How soon deaths are noticed.
 fn deaths(truth: &Truth, said: &[Said], figures: &mut Figures) {
+    let pairs = by_pair(said);
     for (at, dead) in &truth.kills {
         let back =
             truth.lives[*dead].iter().map(|(from, _)| *from).find(|from| from >= at).unwrap_or(truth.end);
         for by in (0..truth.routers).filter(|by| by != dead) {
-            let words = || {
-                said.iter().filter(|one| one.by == by).filter_map(|one| match one.word {
-                    Word::Of { other, state, .. } if other == *dead => Some((one.at, state)),
-                    _ => None,
-                })
-            };
+            let words = || pairs.get(&(by, *dead)).into_iter().flatten().copied();
             // One that suspected it before says nothing new.
             if words().rfind(|(when, _)| when < at).is_some_and(|(_, state)| state != State::Alive) {
                 continue;
@@ -342,6 +351,15 @@
 /// How soon all is well again after a heal or a wake.
 fn heals(truth: &Truth, said: &[Said], figures: &mut Figures) {
     let window = HEARD_AGAIN_MS + 500.0;
+    // What each said of its own standing, and what others said of it.
+    let mut about: BTreeMap<usize, Vec<&Said>> = BTreeMap::new();
+    for one in said {
+        let whom = match one.word {
+            Word::Standing { .. } => one.by,
+            Word::Of { other, .. } => other,
+        };
+        about.entry(whom).or_default().push(one);
+    }
     for heal in &truth.heals {
         for one in 0..truth.routers {
             let hurt = truth.disturbed(one, heal - 50.0, *heal);
@@ -354,7 +372,7 @@
                 others.filter(|by| truth.awake(*by, heal - 10_000.0, heal + window)).collect();
             let (watched, mut stands, mut well) = (without.clone(), false, f64::INFINITY);
             without.clear();
-            for s in said.iter().filter(|s| s.at <= heal + window) {
+            for s in about.get(&one).into_iter().flatten().filter(|s| s.at <= heal + window) {
                 match s.word {
                     Word::Standing { says, .. } if s.by == one => stands = says == Says::Majority,
                     Word::Of { other, state, .. } if other == one && watched.contains(&s.by) => {
--- a/crates/frostturn-lab/src/fleet/sim.rs
+++ b/crates/frostturn-lab/src/fleet/sim.rs
@@ -19,6 +19,9 @@
 /// Datagrams that wait for a process that stands still; the kernel drops what is more.
 const WAITING: usize = 300;
 
+/// The start of whoever begins with the run.
+const FIRST_START: u64 = 1_800_000_000_000;
+
 /// What a run cost.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
@@ -159,7 +162,8 @@
         set.peers =
             others.map(|other| PeerAt { name: format!("n{other}"), address: listen(other) }).collect();
         let clock = self.clock(at);
-        let (name, start) = (format!("n{at}"), self.now as u64 + 1);
+        // As long in a datagram as one of these years.
+        let (name, start) = (format!("n{at}"), FIRST_START + self.now as u64);
         let fleet = Fleet::new(set, &name, start, clock, self.seed.wrapping_add(at as u64 * 7919));
         let node = &mut self.nodes[at];
         (node.fleet, node.born, node.stopped) = (fleet.ok(), self.now, false);
--- a/crates/frostturn-lab/tests/fleet.rs
+++ b/crates/frostturn-lab/tests/fleet.rs
@@ -246,3 +246,21 @@
     rig.until("it is counted", |_| !status(0).contains("\\\"refused\\\":0,")).unwrap();
     assert!((0..3).all(|one| first_gone(&rig, one).is_none()));
 }
+
+/// More routers than pass on rows: they call rolls.
+#[test]
+fn eighteen_routers_call_rolls_one_dies_one_is_cut_off_and_all_are_back() {
+    let mut rig = rig(18, QUICK);
+    let rest: Vec<usize> = (2..18).collect();
+    rig.kill(1);
+    rig.links(CUT, |from, to| (from == 0) != (to == 0));
+    rig.until("the rest calls both gone, and one knows that it is cut off", |rig| {
+        rig.stands(0, "cut-off")
+            && rest.iter().all(|at| rig.sees(*at, &[0, 1], Gone) && rig.stands(*at, "majority"))
+    })
+    .unwrap();
+    assert!(first_cut_off(&rig, 0) < first_gone(&rig, 0), "it knew first");
+    rig.links(Link::default(), |_, _| true);
+    rig.spawn(1, true, true).expect("it starts again");
+    whole(&rig, &all(&rig));
+}
--- a/deploy/operator.example.scm
+++ b/deploy/operator.example.scm
@@ -42,7 +42,7 @@
     (name "north")                       ; datagrams of other fleets are foreign
     (listen "127.0.0.1:7401")            ; where this router hears the others
     (peer "n1" "127.0.0.1:7411")         ; each other router by its name, and where it is reached from here
-    (peer "n2" "127.0.0.1:7412")         ; 63 at most; all routers' files name the same ones
+    (peer "n2" "127.0.0.1:7412")         ; 1023 at most; all routers' files name the same ones
     (period 500ms)                       ; five datagrams leave in it. 100ms to 5s
     (suspicion 4s 8s))                   ; least and most time from suspect to gone; four periods and more
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,24 +1,26 @@
 //! Who else routes here, who hears whom, and whether this router is cut off.
 //!
-//! Owns one [`Member`](State) a router of the operator's file, this router's own [`Ledger`](standing::Ledger), and its
-//! [`Patience`](patience::Patience): all bounded by [`MAX_ROUTERS`]. It never opens a socket, never reads a clock, never touches a
-//! request: time comes in as an argument, datagrams and events go out as values.
+//! Owns what this router knows of the others, bounded by [`MAX_ROUTERS`]. It never opens a socket, never reads a clock, never
+//! touches a request: time comes in as an argument, datagrams and events go out as values.
+//!
+//! A fleet of up to [`ROWS_UPTO`](settings::ROWS_UPTO) routers passes on rows of who has heard whom ([`rows`]); a larger one calls
+//! a roll twice a second ([`rolls`]). The sentences are the same, and each says by which lines it keeps them.
 //!
 //! **Holds at every instant**, whatever is lost, late, doubled, stalled, restarted or cut, while clocks run alike within
 //! [`DRIFT`](settings::DRIFT):
 //!
-//! - *Who is called gone knew before that it was cut off.* A router is called gone (`Fleet::verdict`) when `blocking` others have
-//!   given up its term for a silence of at least `refuse_ms` (`Fleet::judge`), which binds them: they answer that term never again
-//!   (`Heard::refused`; a start without memory refuses what it meets until it has been heard, `Member::met`). What they answered before was
-//!   sent before the silence, so it is older than `lease_ms` and counts no more (`Ledger::behind`). Whoever is left is no majority.
-//! - *No word about or from an earlier start counts* (`Fleet::accept`: starts only grow; `Heard::tag`).
-//! - *A term that has ended never comes back* (`Ledger::settle`).
+//! - *Who is called gone knew before that it was cut off.*
+//! - *No word about or from an earlier start counts.*
+//! - *A term that has ended never comes back.*
 //!
 //! **Holds once faults end**: whoever is heard both ways by a majority, through any helper, has its standing and is alive at
 //! all others; whoever is dead is gone at all that have a majority.
 
+mod allowance;
 mod member;
 pub mod patience;
+pub mod rolls;
+pub mod rows;
 pub mod settings;
 pub mod standing;
 mod view;
@@ -30,29 +32,10 @@
 pub use wire::{Refused, Says};
 
 use crate::api::Millis;
-use member::{Member, Transit};
-use patience::Patience;
-use standing::{Answer, Ledger, BEAT_MS};
+use rolls::Rolls;
+use rows::Rows;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use wire::{GivenUp, Heard, Packet, Row};
-
-/// Datagrams that one router sends in a second, at most, and at once: together no more than 12 a second over half a minute.
-const SENDS_PER_S: f64 = 11.5;
-const SENDS_AT_ONCE: f64 = 12.0;
-/// One turn of so many is for those who are not heard.
-const FAR_EVERY: u64 = 5;
-
-/// And of so many while no majority answers: those who aren't heard may be the ones that are missing.
-const FAR_EVERY_ALONE: u64 = 2;
-/// Others that a datagram speaks of: the missed ones, and of the rest by turns; and the missed ones in words that it takes along.
-const LOUD: usize = 16;
-const WORDS: usize = 11;
-const LOUD_RELAYED: usize = 2;
-/// Missed routers of which a datagram tells who has given them up.
-const GIVEN_UP: usize = 8;
-/// Part that the latest words have in the usual age of a router's words.
-const AGE_PART: f64 = 0.2;
 
 /// What there is to do or to tell.
 #[derive(Clone, Debug, PartialEq)]
@@ -107,762 +90,90 @@
     pub refused: BTreeMap<Refused, u64>,
 }
 
-/// Later words of one start of a router: what they don't speak of stays as it was.
-fn merged(known: Option<Row>, mut row: Row, roster: impl Fn(Id) -> bool) -> Row {
-    row.heard.retain(|heard| roster(heard.of));
-    if let Some(known) = known.filter(|known| known.start == row.start) {
-        for old in known.heard {
-            if !row.heard.iter().any(|new| new.of == old.of) {
-                row.heard.push(old);
-            }
-        }
-    }
-    row
+/// One router's picture of the fleet, by the way that fits its size.
+#[derive(Clone, Debug)]
+pub enum Fleet {
+    /// A small one.
+    Rows(Box<Rows>),
+    /// A large one.
+    Rolls(Box<Rolls>),
 }
 
-/// One router's picture of the fleet.
-#[derive(Clone, Debug)]
-pub struct Fleet {
-    set: Settings,
-    name: String,
-    id: Id,
-    start: u64,
-    born: Millis,
-    ledger: Ledger,
-    /// What was last told of its standing.
-    says: (Says, u32),
-    patience: Patience,
-    members: Vec<Member>,
-    index: BTreeMap<Id, usize>,
-    /// All ids in order, this router's among them, and a hash of them.
-    roster: Vec<Id>,
-    roster_tag: u32,
-    /// Whose turn is next: among those whose datagrams come, and among the rest.
-    next: [usize; 2],
-    turns: u64,
-    /// Where the words about the rest go on.
-    window: usize,
-    turn_at: Millis,
-    tokens: f64,
-    tokens_at: Millis,
-    leaves: bool,
-    effects: Vec<Effect>,
-    counts: Counts,
+/// The same call of whichever it is.
+macro_rules! either {
+    ($self:expr, $way:ident => $call:expr) => {
+        match $self {
+            Self::Rows($way) => $call,
+            Self::Rolls($way) => $call,
+        }
+    };
 }
 
 impl Fleet {
     /// One that begins now: `start` is greater than that of any earlier one of this name, as far as is known; the clock is
     /// steady and counts sleep (CLOCK_BOOTTIME). An error names the one of the peers that can't be.
     pub fn new(set: Settings, name: &str, start: u64, now: Millis, seed: u64) -> Result<Self, String> {
-        let id = Id::of(name);
-        let members: Vec<Member> =
-            set.peers.iter().map(|at| Member::new(at.clone(), set.window_ms(), now)).collect();
-        let index: BTreeMap<Id, usize> = members.iter().enumerate().map(|(at, one)| (one.id, at)).collect();
-        if set.peers.iter().any(|peer| peer.name == name) {
-            return Err(format!("{name} is among its own peers"));
-        }
-        if index.contains_key(&id) || index.len() < members.len() {
-            return Err(format!(
-                "the fleet has two names that datagrams can't tell apart; {name} is one, or two peers"
-            ));
-        }
-        let mut roster: Vec<Id> = index.keys().copied().chain([id]).collect();
-        roster.sort_unstable();
-        let bytes: Vec<u8> = roster.iter().flat_map(|id| id.0).collect();
-        Ok(Self {
-            roster_tag: twox_hash::XxHash64::oneshot(3, &bytes) as u32,
-            roster,
-            ledger: Ledger::new(members.len(), set.majority(), set.lease_ms()),
-            patience: Patience::new(set.turn_ms(), set.period_ms, now),
-            name: name.to_owned(),
-            id,
-            start: start.max(1),
-            born: now,
-            says: (Says::Joining, 0),
-            next: [seed as usize % members.len().max(1); 2],
-            turns: 0,
-            window: 0,
-            members,
-            index,
-            turn_at: now,
-            tokens: SENDS_AT_ONCE,
-            tokens_at: now,
-            leaves: false,
-            effects: Vec::new(),
-            counts: Counts::default(),
-            set,
+        set.named(name)?;
+        Ok(if set.calls_rolls() {
+            Self::Rolls(Box::new(Rolls::new(set, name, start, now, seed)))
+        } else {
+            Self::Rows(Box::new(Rows::new(set, name, start, now, seed)))
         })
     }
 
     /// What the file says.
     pub fn settings(&self) -> &Settings {
-        &self.set
+        either!(self, way => way.settings())
     }
 
     /// When the next turn is due.
     pub fn next_due(&self) -> Millis {
-        self.turn_at
+        either!(self, way => way.next_due())
     }
 
     /// What has come and gone.
     pub fn counts(&self) -> &Counts {
-        &self.counts
+        either!(self, way => way.counts())
     }
 
     /// This start, as it is now known to others.
     pub fn start(&self) -> u64 {
-        self.start
+        either!(self, way => way.start())
     }
 
-    /// What this router can say of itself at this very moment: asked by whatever rests on it, each time before it acts.
+    /// What this router can say of itself at this very moment, and in which term: asked by whatever rests on it, each time
+    /// before it acts.
     pub fn standing(&self, now: Millis) -> (Says, u32) {
-        (self.ledger.says(now - self.born), self.ledger.term())
+        either!(self, way => way.standing(now))
     }
 
     /// Takes the effects so far.
     pub fn effects(&mut self) -> Vec<Effect> {
-        std::mem::take(&mut self.effects)
+        either!(self, way => way.effects())
     }
 
     /// A datagram. One that is refused is counted and changes nothing.
     pub fn heard(&mut self, now: Millis, bytes: &[u8]) -> Result<(), Refused> {
-        let taken = self.take(now, bytes);
-        match taken {
-            Ok(()) => self.counts.taken += 1,
-            Err(why) => *self.counts.refused.entry(why).or_default() += 1,
-        }
-        taken
-    }
-
-    fn take(&mut self, now: Millis, bytes: &[u8]) -> Result<(), Refused> {
-        let packet = wire::read(&self.set.fleet, bytes)?;
-        let from = packet.rows.first().map(|row| row.who).ok_or(Refused::Torn)?;
-        if packet.to != self.id || !self.index.contains_key(&from) {
-            return Err(Refused::Stranger);
-        }
-        self.settle(now); // What has ended by now has ended before anything else is known.
-        if packet.to_start > self.start {
-            self.rename(packet.to_start, now);
-        }
-        if packet.roster == self.roster_tag {
-            packet.given_up.iter().for_each(|given_up| self.note_given_up(given_up));
-        }
-        let mut fresh = false;
-        for (at, row) in packet.rows.into_iter().enumerate() {
-            fresh |= self.accept(row, at == 0, now);
-        }
-        self.settle(now);
-        if fresh {
-            Ok(())
-        } else {
-            Err(Refused::Stale)
-        }
-    }
-
-    /// One router's words; true if they are news.
-    fn accept(&mut self, row: Row, direct: bool, now: Millis) -> bool {
-        if row.who == self.id {
-            if row.start > self.start {
-                self.rename(row.start, now);
-            }
-            return false;
-        }
-        let Some(at) = self.index.get(&row.who).copied() else { return false };
-        let member = &mut self.members[at];
-        let known = (member.start(), member.beat());
-        if row.start < known.0 {
-            return false;
-        }
-        // Its own datagram may come behind another router's copy of the same words.
-        let own = direct && (row.start > known.0 || row.beat > member.direct_beat);
-        if own {
-            (member.direct_at, member.direct_beat) = (Some(now), row.beat);
-        }
-        if (row.start, row.beat) <= known {
-            return own;
-        }
-        let told = if direct { 0.0 } else { f64::from(row.age) };
-        if row.start > known.0 {
-            member.transit = Transit::new(self.set.window_ms());
-        }
-        let age = told.max(member.transit.note(f64::from(row.beat) * BEAT_MS, now));
-        if row.start > known.0 {
-            self.meet(at, &row, direct, now - age);
-        }
-        let member = &mut self.members[at];
-        member.asked = false;
-        member.known_at = member.known_at.max(now - age);
-        member.heard_at = member.heard_at.max(now - age);
-        member.usual_age += AGE_PART * (age - member.usual_age);
-        let mine = row.heard.iter().find(|heard| heard.of == self.id);
-        let mine = mine.filter(|heard| heard.tag == wire::tag(self.start));
-        if let Some(Heard { beat, refused, direct, .. }) = mine.copied() {
-            self.ledger.note(at, Answer { beat, refused, direct }, now - self.born);
-        }
-        if !member.met {
-            // The start before this one may have given up any term that the other had until it heard of this start. What is
-            // late on its way may name an earlier one: so the first term counts that comes with word of this start.
-            let met = mine.is_some_and(|heard| heard.beat >= member.claimed);
-            (member.refused, member.met) = (member.refused.max(row.term), met);
-        }
-        if direct {
-            // One that has not heard this router for long, or not this start, is answered out of turn.
-            let lag = mine.map_or(f64::INFINITY, |heard| now - self.born - f64::from(heard.beat) * BEAT_MS);
-            member.owed |= lag > self.set.ask_ms() || row.says != Says::Majority;
-        }
-        let (term, says) = (row.term, row.says);
-        let (known, index) = (member.row.take(), &self.index);
-        member.row = Some(merged(known, row, |of| index.contains_key(&of) || of == self.id));
-        if says == Says::Left {
-            self.change(at, State::Left, now, "it has said that it ends".to_owned());
-        } else {
-            let member = &self.members[at];
-            let back = match member.state {
-                State::Gone => member.gone_term.is_none_or(|gone| term > gone),
-                State::Joining | State::Suspect => true,
-                State::Alive | State::Left => false,
-            };
-            if back && member.silent(now) < self.set.suspect_ms() {
-                let how = if direct { "heard" } else { "heard through others" };
-                self.change(at, State::Alive, now, how.to_owned());
-            }
-        }
-        true
-    }
-
-    /// The first words of a start.
-    fn meet(&mut self, at: usize, row: &Row, direct: bool, heard_at: Millis) {
-        self.ledger.forget(at);
-        let member = &mut self.members[at];
-        // A router that hears of a later start than it knew of knows all that it ever answered of that one: nothing.
-        let unknown = member.row.is_none();
-        (member.refused, member.met) = (0, !unknown);
-        (member.voted, member.unheard_voted, member.gone_term, member.given_up) = (0, false, None, None);
-        member.told.clear();
-        if !direct {
-            (member.direct_at, member.direct_beat) = (None, 0);
-        }
-        (member.known_at, member.heard_at, member.owed) = (heard_at, heard_at, true);
-        let why = if unknown { "heard for the first time" } else { "it has started anew" };
-        member.row = Some(row.clone()); // So that the change is told under its new start.
-        self.change(at, State::Alive, heard_at, why.to_owned());
-    }
-
-    fn change(&mut self, at: usize, state: State, now: Millis, why: String) {
-        let member = &mut self.members[at];
-        let states = (member.state, state);
-        if states.0 == state && member.why == why {
-            return;
-        }
-        (member.state, member.since, member.why) = (state, now, why.clone());
-        let (name, start, term) = (member.at.name.clone(), member.start(), member.term());
-        self.effects.push(Effect::Changed { name, start, term, states, why });
-    }
-
-    /// Another process has this router's name with a later start: an earlier process, where the Unix clock was set back
-    /// since, or one that should not be. Whoever still speaks takes a start above it.
-    fn rename(&mut self, above: u64, now: Millis) {
-        self.start = above.saturating_add(1);
-        (0..self.members.len()).for_each(|at| self.ledger.forget(at));
-        self.effects.push(Effect::Renamed(self.start));
-        self.settle(now);
-    }
-
-    /// Takes the time into account in this router's own standing.
-    fn settle(&mut self, now: Millis) {
-        let clock = now - self.born;
-        let until = self.ledger.holds_until();
-        self.ledger.settle(clock);
-        let (says, term) = (self.ledger.says(clock), self.ledger.term());
-        if (says, term) != self.says {
-            self.says = (says, term);
-            let ago_ms = if says == Says::CutOff { (clock - until).max(0.0) } else { 0.0 };
-            let heard_by = (self.ledger.heard_by(clock), self.set.routers());
-            self.effects.push(Effect::Standing { says, term, ago_ms, heard_by });
-            self.members.iter_mut().for_each(|member| member.owed = true);
-        }
+        either!(self, way => way.heard(now, bytes))
     }
 
-    /// A turn: judges the silent, and sends.
+    /// A turn, where one is due: judges the silent, and sends.
     pub fn turn(&mut self, now: Millis) {
-        if now < self.turn_at {
-            return;
-        }
-        if let Some(gap) = self.patience.turn(now) {
-            // While this router stood still it could hear nobody: that silence is its own.
-            for member in &mut self.members {
-                member.heard_at = (member.heard_at + gap).min(now);
-                member.owed = true;
-            }
-            self.effects.push(Effect::Stalled(gap));
-        }
-        self.settle(now);
-        (0..self.members.len()).for_each(|at| self.judge(at, now));
-        self.send_due(now);
-    }
-
-    /// Whether another one is silent, whether it is given up, and whether the fleet has given it up.
-    fn judge(&mut self, at: usize, now: Millis) {
-        let member = &self.members[at];
-        if matches!(member.state, State::Gone | State::Left) || !self.patience.judges(now) {
-            return;
-        }
-        // Words that come through others come later: one that is always heard so has that much longer.
-        let usual = (member.usual_age - self.set.period_ms).clamp(0.0, self.set.suspect_ms());
-        let limit = self.set.suspect_ms() + usual + self.patience.late_ms();
-        let silent = member.silent(now);
-        if silent < limit {
-            // Before it is suspected it is asked, once: it answers at once.
-            let member = &mut self.members[at];
-            if silent > self.set.ask_ms() && !member.asked {
-                (member.asked, member.owed) = (true, true);
-            }
-            return;
-        }
-        if member.state != State::Suspect {
-            let why = match member.row {
-                Some(_) => format!("not heard for {silent:.0} ms"),
-                None => "never heard since this router's start".to_owned(),
-            };
-            self.change(at, State::Suspect, now, why);
-        }
-        // One without a majority can't tell who of the two is cut off.
-        if !self.ledger.holds(now - self.born) {
-            return;
-        }
-        let member = &self.members[at];
-        let others = self.heard_of(at).filter(|(_, heard)| heard.suspect).count();
-        let suspicion = patience::suspicion(self.set.suspicion_ms, others) + self.set.more_ms();
-        if silent < limit + suspicion {
-            return;
-        }
-        let (of, term) = (member.id, member.term());
-        let by = 1 << self.place(self.id);
-        let member = &mut self.members[at];
-        member.voted = member.voted.max(term);
-        member.refused = member.refused.max(term);
-        if member.row.is_none() {
-            // Counted here from now on, told with the next datagram: words from before don't take it back.
-            member.unheard_voted = true;
-            member.claimed = ((now - self.born).max(0.0) / BEAT_MS) as u32;
-        } else {
-            let tag = wire::tag(member.start());
-            self.note_given_up(&GivenUp { of, tag, term, by });
-        }
-        self.verdict(at, now);
+        either!(self, way => way.turn(now))
     }
 
-    /// One's place in the roster.
-    fn place(&self, id: Id) -> usize {
-        self.roster.binary_search(&id).unwrap_or(0)
-    }
-
-    /// Words of who has given up whom: joined to what is known of that start and term, or put in place of an earlier one's.
-    fn note_given_up(&mut self, new: &GivenUp) {
-        let Some(member) = self.index.get(&new.of).map(|at| &mut self.members[*at]) else { return };
-        match &mut member.given_up {
-            Some(known) if (known.tag, known.term) == (new.tag, new.term) => known.by |= new.by,
-            Some(known) if known.tag == new.tag && known.term > new.term => {}
-            // Of which of two starts is told by its own words only.
-            _ if member.row.as_ref().is_some_and(|row| wire::tag(row.start) != new.tag) => {}
-            known => *known = Some(*new),
-        }
-    }
-
-    /// Gone, if so many have given up the term that no majority is left to answer it.
-    fn verdict(&mut self, at: usize, now: Millis) {
-        let member = &self.members[at];
-        let (tag, term) = (wire::tag(member.start()), member.term());
-        let told = member.given_up.filter(|told| told.term >= term && (told.tag == tag || tag == 0));
-        let mut by = told.map_or(0, |told| told.by) | 1 << self.place(self.id);
-        for (other, heard) in self.heard_of(at) {
-            // One that has never heard it says so anew each time: what it said lately binds it for all terms until then.
-            let unheard = heard.tag == 0 && self.members[other].silent(now) < self.set.suspect_ms();
-            if heard.suspect && heard.voted >= term.max(1) && (heard.tag == tag || tag == 0 || unheard) {
-                by |= 1 << self.place(self.members[other].id);
-            }
-        }
-        let voters = by.count_ones() as usize;
-        if voters < self.set.blocking() {
-            return;
-        }
-        let (silent, all) = (member.silent(now), self.set.routers());
-        self.members[at].gone_term = Some(term);
-        let why = format!("{voters} of {all} have given it up, this one after {silent:.0} ms of silence");
-        self.change(at, State::Gone, now, why);
-    }
-
-    /// What all others have last said of one.
-    fn heard_of(&self, at: usize) -> impl Iterator<Item = (usize, Heard)> + '_ {
-        let id = self.members[at].id;
-        self.members.iter().enumerate().filter(move |(other, _)| *other != at).filter_map(
-            move |(other, member)| {
-                let heard = member.row.as_ref()?.heard.iter().find(|heard| heard.of == id)?;
-                Some((other, *heard))
-            },
-        )
-    }
-
-    fn send_due(&mut self, now: Millis) {
-        self.tokens = (self.tokens + (now - self.tokens_at).max(0.0) * SENDS_PER_S / 1e3).min(SENDS_AT_ONCE);
-        self.tokens_at = now;
-        let turn_ms = self.set.turn_ms();
-        // Turns that were missed are made up for, as far as one period goes.
-        let due = (((now - self.turn_at) / turn_ms).floor() + 1.0).min(self.set.period_ms / turn_ms);
-        self.turn_at = (self.turn_at + turn_ms).max(now + turn_ms / 2.0);
-        for _ in 0..due as usize {
-            if self.members.is_empty() || self.tokens < 1.0 {
-                return;
-            }
-            // Every other turn is for one that is owed, if any is: in a large fleet there may be no more to spend.
-            let owed = if self.turns % 2 == 1 { self.next_owed(now) } else { None };
-            let at = match owed {
-                Some(at) => {
-                    self.turns += 1;
-                    at
-                }
-                None => self.next_turn(now),
-            };
-            self.send(at, now);
-        }
-        while self.tokens >= 1.0 {
-            let Some(at) = self.next_owed(now) else { return };
-            self.send(at, now);
-        }
-    }
-
-    /// Who is owed a datagram out of turn: whoever is asked first, then by turns.
-    fn next_owed(&self, now: Millis) -> Option<usize> {
-        let count = self.members.len();
-        let owed = |at: &usize| {
-            let member = &self.members[*at];
-            member.owed && now - member.sent_at > 2.0 * self.set.turn_ms()
-        };
-        let ring = (0..count).map(|step| (self.turns as usize + step) % count).filter(owed);
-        ring.min_by_key(|at| !self.members[*at].asked)
-    }
-
-    /// Whom the next turn is for. Most go to those whose own datagrams come, as whatever is told travels through these; every
-    /// fifth to the rest, who may be dead or behind a cut.
-    fn next_turn(&mut self, now: Millis) -> usize {
-        self.turns += 1;
-        let every = if self.ledger.holds(now - self.born) { FAR_EVERY } else { FAR_EVERY_ALONE };
-        let far = usize::from(self.turns.is_multiple_of(every));
-        let (from, count) = (self.next[far], self.members.len());
-        let ring = (0..count).map(|step| (from + step) % count);
-        let wanted = ring.clone().find(|at| self.hears(*at, now) == (far == 0));
-        // Without any of the one kind all turns are for the other, each in its own order.
-        let Some(at) = wanted else {
-            let at = self.next[1 - far] % count;
-            self.next[1 - far] = (at + 1) % count;
-            return at;
-        };
-        self.next[far] = (at + 1) % count;
-        at
-    }
-
-    /// Whether another one's own datagrams come.
-    fn hears(&self, at: usize, now: Millis) -> bool {
-        self.members[at].direct_at.is_some_and(|at| now - at <= self.set.direct_ms())
-    }
-
-    fn send(&mut self, at: usize, now: Millis) {
-        self.tokens -= 1.0;
-        let own = self.row(at, now);
-        let to = &self.members[at];
-        // The newest first: what is new here travels on at once, and everybody has something else that is new.
-        let mut news: Vec<(usize, &Member, &Row)> = self
-            .members
-            .iter()
-            .enumerate()
-            .filter(|(other, _)| *other != at)
-            .filter_map(|(other, member)| Some((other, member, member.row.as_ref()?)))
-            .filter(|(other, _, row)| to.told.get(other) != Some(&(row.start, row.beat)))
-            .collect();
-        news.sort_by(|a, b| b.1.known_at.total_cmp(&a.1.known_at));
-        // And between each two of these one by turns, so that none is left out for long.
-        let (from, count) = (self.turns as usize * 7, news.len().max(1));
-        let by_turns: Vec<usize> = (0..news.len()).map(|step| (from + step) % count).collect();
-        let mut taken = vec![false; news.len()];
-        let order: Vec<usize> = (0..news.len()).flat_map(|at| [at, by_turns[at]]).collect();
-        let order = order.into_iter().filter(|at| !std::mem::replace(&mut taken[*at], true));
-        let news: Vec<(usize, &Member, &Row)> = order.map(|at| news[at]).collect();
-        let relayed = news.iter().map(|(_, member, row)| {
-            let age = (now - member.known_at).clamp(0.0, f64::from(u16::MAX)) as u16;
-            // What it says of the one that this is for, and whom it misses.
-            let loud = row.heard.iter().filter(|heard| heard.suspect && heard.of != to.id).take(LOUD_RELAYED);
-            let heard = row.heard.iter().filter(|heard| heard.of == to.id).chain(loud).copied().collect();
-            Row { age, heard, ..(*row).clone() }
-        });
-        let given_up = self.given_up_by_turns();
-        let packet =
-            Packet { to: to.id, to_start: to.start(), roster: self.roster_tag, rows: vec![own], given_up };
-        let (bytes, went) = wire::write(&self.set.fleet, packet, relayed);
-        let told: Vec<(usize, (u64, u32))> =
-            news.iter().take(went).map(|(other, _, row)| (*other, (row.start, row.beat))).collect();
-        let to = to.at.address;
-        let member = &mut self.members[at];
-        member.told.extend(told);
-        (member.owed, member.sent_at) = (false, now);
-        self.counts.sent += 1;
-        self.counts.sent_bytes += bytes.len() as u64;
-        self.effects.push(Effect::Send { to, bytes });
-    }
-
-    /// Who has given up those that are missed, as far as is known here, some at a time.
-    fn given_up_by_turns(&self) -> Vec<GivenUp> {
-        let missed = self.members.iter().filter(|member| member.state == State::Suspect);
-        let all: Vec<GivenUp> = missed.filter_map(|member| member.given_up).collect();
-        let from = (self.turns as usize * GIVEN_UP) % all.len().max(1);
-        all.iter().cycle().skip(from).take(all.len().min(GIVEN_UP)).copied().collect()
-    }
-
-    /// This router's own words for another one: of that one itself, of those that are missed, and of the rest by turns.
-    fn row(&mut self, to: usize, now: Millis) -> Row {
-        let count = self.members.len();
-        let first = self.window;
-        self.window = (first + WORDS) % count.max(1);
-        let missed = |at: &usize| matches!(self.members[*at].state, State::Suspect | State::Gone);
-        let ring = (0..count).map(|step| (first + step) % count).filter(|at| *at != to);
-        let (loud, rest): (Vec<usize>, Vec<usize>) = ring.partition(missed);
-        let of = std::iter::once(to).chain(loud.into_iter().take(LOUD)).chain(rest.into_iter().take(WORDS));
-        let of: Vec<usize> = of.collect();
-        let heard = of.iter().map(|at| self.heard_here(*at, now)).collect();
-        let beat = ((now - self.born).max(0.0) / BEAT_MS) as u32;
-        for at in of {
-            let member = &mut self.members[at];
-            member.claimed = if member.unheard_voted { beat } else { member.claimed };
-        }
-        Row {
-            who: self.id,
-            start: self.start,
-            term: self.ledger.wanted(),
-            beat,
-            age: 0,
-            says: if self.leaves { Says::Left } else { self.ledger.says(now - self.born) },
-            heard,
-        }
-    }
-
-    fn heard_here(&self, at: usize, now: Millis) -> Heard {
-        let member = &self.members[at];
-        Heard {
-            of: member.id,
-            tag: wire::tag(member.start()),
-            beat: member.beat(),
-            refused: member.refused,
-            voted: member.voted.max(u32::from(member.unheard_voted)),
-            suspect: matches!(member.state, State::Suspect | State::Gone),
-            direct: self.hears(at, now),
-        }
-    }
-
-    /// This router ends: everybody is told, once, out of turn.
+    /// This router ends: others are told, once, out of turn.
     pub fn leave(&mut self, now: Millis) {
-        self.leaves = true;
-        self.tokens = self.members.len() as f64;
-        (0..self.members.len()).for_each(|at| self.send(at, now));
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::wire::{Heard, Row};
-    use super::*;
-    use quickcheck::{Gen, QuickCheck};
-
-    const ME: &str = "n0";
-
-    fn set() -> Settings {
-        let at = |port: u16| ([127, 0, 0, 1], port).into();
-        let mut set = Settings::new("north", at(7400));
-        set.peers = (1..4).map(|one| PeerAt { name: format!("n{one}"), address: at(7400 + one) }).collect();
-        set
-    }
-
-    fn fleet() -> Fleet {
-        Fleet::new(set(), ME, 1000, 0.0, 0).expect("four names")
-    }
-
-    /// What one says at `now`, of a start that began at 0: it answers this router, and of `n1` it says this.
-    fn row(who: &str, start: u64, now: Millis, fleet: &Fleet, of: Option<(u64, u32, bool)>) -> Row {
-        let beat = (now / BEAT_MS) as u32;
-        let me = Heard {
-            of: Id::of(ME),
-            tag: wire::tag(fleet.start),
-            beat,
-            refused: 0,
-            voted: 0,
-            suspect: false,
-            direct: true,
-        };
-        let other = of.map(|(start, voted, suspect)| Heard {
-            of: Id::of("n1"),
-            tag: wire::tag(start),
-            refused: voted,
-            voted,
-            suspect,
-            ..me
-        });
-        let heard = [me].into_iter().chain(other).collect();
-        Row { who: Id::of(who), start, term: 1, beat, age: 0, says: Says::Majority, heard }
-    }
-
-    fn datagram(to: &str, to_start: u64, row: Row) -> Vec<u8> {
-        let packet = Packet { to: Id::of(to), to_start, roster: 0, rows: vec![row], given_up: Vec::new() };
-        wire::write("north", packet, std::iter::empty()).0
-    }
-
-    fn hear(fleet: &mut Fleet, now: Millis, row: Row) -> Result<(), Refused> {
-        let bytes = datagram(ME, fleet.start, row);
-        fleet.heard(now, &bytes)
-    }
-
-    fn state(fleet: &Fleet, one: usize) -> State {
-        fleet.members[one - 1].state
-    }
-
-    /// Plays on to `until`, a turn each 100 ms, in which n2 and n3 answer and say so much of n1.
-    fn play(fleet: &mut Fleet, from: Millis, until: Millis, of: Option<(u64, u32, bool)>) {
-        let mut now = from;
-        while now < until {
-            for who in ["n2", "n3"] {
-                let row = row(who, 5, now, fleet, of);
-                hear(fleet, now, row).expect("news");
-            }
-            fleet.turn(now);
-            fleet.effects();
-            now += 100.0;
-        }
-    }
-
-    #[test]
-    fn who_is_silent_here_and_given_up_by_enough_others_is_gone_and_words_of_an_earlier_start_are_none() {
-        let mut fleet = fleet();
-        let first = row("n1", 500, 0.0, &fleet, None);
-        hear(&mut fleet, 0.0, first).expect("news");
-        // The others have given up an earlier start of n1, which is silent here, too.
-        play(&mut fleet, 100.0, 12_000.0, Some((400, 9, true)));
-        assert_eq!(
-            (state(&fleet, 1), fleet.members[0].voted),
-            (State::Suspect, 1),
-            "it is given up here, and not gone"
-        );
-        assert_eq!(fleet.standing(12_000.0).0, Says::Majority);
-        play(&mut fleet, 12_000.0, 12_300.0, Some((500, 1, true)));
-        assert_eq!(state(&fleet, 1), State::Gone);
-        // Its old term does not bring it back, whoever relays it; the next one does, and so does a new start.
-        let mut same = row("n1", 500, 12_400.0, &fleet, None);
-        hear(&mut fleet, 12_400.0, same.clone()).expect("news");
-        assert_eq!(state(&fleet, 1), State::Gone);
-        (same.term, same.beat) = (2, same.beat + 10);
-        hear(&mut fleet, 12_500.0, same.clone()).expect("news");
-        assert_eq!(state(&fleet, 1), State::Alive);
-        let anew = row("n1", 600, 12_600.0, &fleet, None);
-        hear(&mut fleet, 12_600.0, anew).expect("news");
-        assert_eq!((state(&fleet, 1), fleet.members[0].refused), (State::Alive, 0));
-        same.beat += 100;
-        assert_eq!(hear(&mut fleet, 12_700.0, same), Err(Refused::Stale), "the start before");
-    }
-
-    #[test]
-    fn one_without_a_majority_calls_nobody_gone_whatever_others_said_of_it() {
-        let mut fleet = fleet();
-        for who in ["n1", "n2", "n3"] {
-            let row = row(who, 5, 0.0, &fleet, Some((500, 9, true)));
-            hear(&mut fleet, 0.0, row).expect("news");
-        }
-        (1..600).for_each(|turn| fleet.turn(f64::from(turn) * 100.0));
-        assert_eq!(fleet.standing(60_000.0).0, Says::CutOff);
-        assert!((1..4).all(|one| state(&fleet, one) == State::Suspect));
-        assert!(fleet.members.iter().all(|member| member.voted == 0), "nor gives anybody up");
-    }
-
-    #[test]
-    fn a_start_without_memory_refuses_what_it_meets_until_it_has_been_heard() {
-        let mut fleet = fleet();
-        let mut met = |beat_ms: Millis, term: u32, heard: bool| {
-            let mut row = row("n1", 500, beat_ms, &fleet, None);
-            row.term = term;
-            if !heard {
-                row.heard.clear();
-            }
-            hear(&mut fleet, 1000.0, row).expect("news");
-            fleet.row(0, 1000.0).heard[0].refused
-        };
-        // The start before this one may have given up 7: words from before, late on their way, say nothing of that.
-        assert_eq!(met(100.0, 3, false), 3);
-        assert_eq!(met(300.0, 7, false), 7);
-        assert_eq!(met(500.0, 7, true), 7);
-        assert_eq!(met(600.0, 8, true), 7, "and answers the next");
+        either!(self, way => way.leave(now))
     }
 
-    #[test]
-    fn a_later_start_by_this_name_is_outbid_and_what_was_answered_to_it_counts_no_more() {
-        let mut fleet = fleet();
-        play(&mut fleet, 0.0, 300.0, None);
-        assert_eq!(fleet.standing(300.0).0, Says::Majority);
-        let row = row("n2", 5, 400.0, &fleet, None);
-        let bytes = datagram(ME, 5000, row);
-        fleet.heard(400.0, &bytes).expect("news");
-        assert_eq!((fleet.start(), fleet.standing(400.0).0), (5001, Says::CutOff));
-        play(&mut fleet, 500.0, 800.0, None);
-        assert_eq!(fleet.standing(800.0).0, Says::Majority);
+    /// The picture at this moment.
+    pub fn view(&self, now: Millis) -> View {
+        either!(self, way => way.view(now))
     }
 
-    #[test]
-    fn datagrams_for_others_of_strangers_and_heard_before_are_refused_and_counted() {
-        let mut fleet = fleet();
-        let good = row("n1", 500, 10.0, &fleet, None);
-        let bytes = datagram(ME, 0, good.clone());
-        assert_eq!(fleet.heard(10.0, &bytes), Ok(()));
-        assert_eq!(fleet.heard(20.0, &bytes), Err(Refused::Stale));
-        let mut write = |to: &str, row: &Row| {
-            let bytes = datagram(to, 0, row.clone());
-            fleet.heard(30.0, &bytes)
-        };
-        assert_eq!(write("n2", &good), Err(Refused::Stranger), "it is for another one");
-        assert_eq!(write(ME, &Row { who: Id::of("n9"), ..good.clone() }), Err(Refused::Stranger));
-        assert_eq!(write(ME, &Row { who: Id::of(ME), ..good }), Err(Refused::Stranger));
-        assert_eq!(fleet.counts().refused, [(Refused::Stranger, 3), (Refused::Stale, 1)].into());
-    }
-
-    /// Whatever comes, in whatever order, and however time jumps on: no panic, bounded memory, and no more datagrams than a
-    /// second's allowance and what is let through in the time.
-    #[test]
-    fn no_words_and_no_jumps_of_time_break_a_bound() {
-        fn property(steps: Vec<(u8, u16, u8, u8, Vec<u8>)>) -> bool {
-            let (mut fleet, mut now, mut sent) = (fleet(), 0.0, 0.0);
-            for (who, later, term, flags, junk) in steps {
-                now += f64::from(later) * if flags & 64 == 0 { 0.01 } else { 1.0 };
-                let mut row = row(&format!("n{}", who % 5), 500 + u64::from(who / 5 % 3), now, &fleet, None);
-                (row.term, row.age) = (u32::from(term), later);
-                row.says = [Says::Joining, Says::Majority, Says::CutOff, Says::Left][usize::from(flags % 4)];
-                for heard in &mut row.heard {
-                    (heard.refused, heard.voted) = (u32::from(term % 7), u32::from(flags % 5));
-                    (heard.suspect, heard.direct) = (flags & 8 != 0, flags & 16 != 0);
-                }
-                let _ = hear(&mut fleet, now, row);
-                let _ = fleet.heard(now, &junk);
-                fleet.turn(now);
-                for effect in fleet.effects() {
-                    match effect {
-                        Effect::Send { bytes, .. } if bytes.len() > wire::MAX_DATAGRAM => return false,
-                        Effect::Send { .. } => sent += 1.0,
-                        _ => {}
-                    }
-                }
-                let rows = fleet.members.iter().filter_map(|member| member.row.as_ref());
-                if rows.map(|row| row.heard.len()).sum::<usize>() > 3 * MAX_ROUTERS {
-                    return false;
-                }
-                let _ = fleet.view(now);
-            }
-            sent <= SENDS_AT_ONCE + SENDS_PER_S * now / 1e3
-        }
-        QuickCheck::new()
-            .rng(Gen::from_size_and_seed(80, 22))
-            .tests(400)
-            .quickcheck(property as fn(Vec<(u8, u16, u8, u8, Vec<u8>)>) -> bool);
+    /// How many of the others are in each state, by its word.
+    pub fn tally(&self) -> [(&'static str, usize); 5] {
+        either!(self, way => way.tally())
     }
 }
--- /dev/null
+++ b/src/fleet/rolls/book.rs
@@ -0,0 +1,266 @@
+//! Which life of each router is known, and which of it is still to be told.
+
+use super::wire::{self, Entry, Kind, Life, Mark};
+use crate::api::Millis;
+use fixedbitset::FixedBitSet;
+use twox_hash::XxHash64;
+
+/// Routers in a block, for each of which two routers compare what they know.
+pub const BLOCK: usize = 64;
+/// Datagrams that take a new life along, of each router that learns it.
+const TELLS: u8 = 5;
+/// Datagrams in a row whose sender knew something else of a block, before the whole block is told.
+const MIXED: u8 = 4;
+
+/// What has been learned of a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// A start that wasn't known.
+    Start,
+    /// A later term of the same start.
+    Term,
+    /// Something said of the same life.
+    Mark,
+}
+
+/// The lives of all routers of the roster, bounded by it.
+#[derive(Clone, Debug)]
+pub struct Book {
+    lives: Vec<Life>,
+    /// When each start was learned, by this router's clock.
+    start_at: Vec<Millis>,
+    /// Hashes of place and start, and of place, start and term.
+    hashes: Vec<[u64; 2]>,
+    starts: Vec<u32>,
+    rest: Vec<u16>,
+    tells: Vec<u8>,
+    fresh: Vec<u16>,
+    mixed: Vec<u8>,
+    /// Where the telling of blocks goes on.
+    next: usize,
+}
+
+fn hash(of: usize, parts: [u64; 2]) -> u64 {
+    let bytes: Vec<u8> = [of as u64, parts[0], parts[1]].iter().flat_map(|part| part.to_le_bytes()).collect();
+    XxHash64::oneshot(7, &bytes)
+}
+
+fn hashes(of: usize, life: Life) -> [u64; 2] {
+    [hash(of, [life.start, u64::MAX]), hash(of, [life.start, u64::from(life.term)])]
+}
+
+impl Book {
+    /// Of so many routers nothing is known.
+    pub fn new(routers: usize, now: Millis) -> Self {
+        let blocks = routers.div_ceil(BLOCK);
+        Self {
+            lives: vec![Life::default(); routers],
+            start_at: vec![now; routers],
+            hashes: (0..routers).map(|of| hashes(of, Life::default())).collect(),
+            starts: vec![0; blocks],
+            rest: vec![0; blocks],
+            tells: vec![0; routers],
+            fresh: Vec::new(),
+            mixed: vec![0; blocks],
+            next: 0,
+        }
+    }
+
+    /// The life that is known of one.
+    pub fn life(&self, of: usize) -> Life {
+        self.lives[of]
+    }
+
+    /// When its start was learned.
+    pub fn start_at(&self, of: usize) -> Millis {
+        self.start_at[of]
+    }
+
+    /// How many blocks there are.
+    pub fn blocks(&self) -> usize {
+        self.starts.len()
+    }
+
+    /// A life: what is not later than what is known changes nothing.
+    pub fn learn(&mut self, of: usize, life: Life, now: Millis) -> Option<Learned> {
+        let known = self.lives[of];
+        if life <= known {
+            return None;
+        }
+        let block = of / BLOCK;
+        let digest = |life: Life| {
+            let start = hash(of, [life.start, 1]) as u32;
+            let rest = hash(of, [u64::from(life.term), 2 + life.mark as u64]) as u16;
+            (start, rest)
+        };
+        for (start, rest) in [digest(known), digest(life)] {
+            self.starts[block] ^= start;
+            self.rest[block] ^= rest;
+        }
+        self.lives[of] = life;
+        self.hashes[of] = hashes(of, life);
+        if self.tells[of] == 0 {
+            self.fresh.push(of as u16);
+        }
+        self.tells[of] = TELLS;
+        Some(if life.start > known.start {
+            self.start_at[of] = now;
+            Learned::Start
+        } else if life.term > known.term {
+            Learned::Term
+        } else {
+            Learned::Mark
+        })
+    }
+
+    /// What is said of a life that is known.
+    pub fn mark(&mut self, of: usize, mark: Mark, now: Millis) -> bool {
+        let life = Life { mark, ..self.lives[of] };
+        self.learn(of, life, now).is_some()
+    }
+
+    /// Of the starts of all in a set, or of their lives: alike only where all of these are known alike.
+    pub fn digest(&self, set: &FixedBitSet, kind: Kind) -> u64 {
+        let at = usize::from(kind == Kind::GivenUp);
+        set.ones().fold(0, |digest, of| digest ^ self.hashes[of][at])
+    }
+
+    /// What a datagram says of all blocks.
+    pub fn digests(&self) -> Vec<u8> {
+        let starts = self.starts.iter().flat_map(|digest| digest.to_le_bytes());
+        starts.chain(self.rest.iter().flat_map(|digest| digest.to_le_bytes())).collect()
+    }
+
+    /// Whether another router's digests show the same starts, block by block; none if they aren't of this roster. Notes where
+    /// anything differs.
+    pub fn compare(&mut self, digests: &[u8]) -> Option<Vec<bool>> {
+        if digests.len() != 6 * self.blocks() {
+            return None;
+        }
+        let same: Vec<(bool, bool)> = (0..self.blocks()).map(|block| self.same(block, digests)).collect();
+        for (mixed, (_, all)) in self.mixed.iter_mut().zip(&same) {
+            *mixed = if *all { mixed.saturating_sub(1) } else { (*mixed + 1).min(2 * MIXED) };
+        }
+        Some(same.into_iter().map(|(start, _)| start).collect())
+    }
+
+    /// Whether a block's starts, and all of it, are as another router's digests show.
+    fn same(&self, block: usize, digests: &[u8]) -> (bool, bool) {
+        let (starts, rest) = digests.split_at(4 * self.blocks());
+        let start = starts[4 * block..4 * block + 4] == self.starts[block].to_le_bytes();
+        (start, start && rest[2 * block..2 * block + 2] == self.rest[block].to_le_bytes())
+    }
+
+    /// Blocks in which a router knows something else than this one and most others.
+    pub fn alone(&self, digests: &[u8]) -> Vec<bool> {
+        (0..self.blocks()).map(|block| self.mixed[block] < MIXED && !self.same(block, digests).1).collect()
+    }
+
+    /// Bytes to be kept for lives, up to `most`.
+    pub fn to_tell(&self, most: usize) -> usize {
+        if self.mixed.iter().any(|mixed| *mixed >= MIXED) {
+            return most;
+        }
+        most.min(10 * self.fresh.len())
+    }
+
+    /// Entries for a datagram with so many bytes left: what is fresh, then whole blocks that `wants` or that many know
+    /// differently. `draw` is by chance, so that each datagram takes others along.
+    pub fn entries(&mut self, room: usize, wants: Option<&[bool]>, draw: usize) -> Vec<Entry> {
+        let mut out: Vec<Entry> = Vec::new();
+        let mut left = room;
+        // Near enough: the order in which they go is by place, the starts of which are alike.
+        let near = self.lives.iter().map(|life| life.start).max().unwrap_or(0);
+        let mut add = |out: &mut Vec<Entry>, of: usize, life: Life| match left
+            .checked_sub(wire::cost(life, near) + 1)
+        {
+            Some(rest) => {
+                left = rest;
+                out.push(Entry { of: of as u16, life });
+                true
+            }
+            None => false,
+        };
+        if wants.is_none() {
+            let (from, count) = (draw % self.fresh.len().max(1), self.fresh.len());
+            for at in (0..count).map(|step| (from + step) % count) {
+                let of = usize::from(self.fresh[at]);
+                if !add(&mut out, of, self.lives[of]) {
+                    break;
+                }
+                self.tells[of] -= 1;
+            }
+            let tells = &self.tells;
+            self.fresh.retain(|of| tells[usize::from(*of)] > 0);
+        }
+        let (blocks, routers) = (self.blocks(), self.lives.len());
+        // From where the last datagram ended, on; each router once.
+        let mut steps = 0;
+        while steps < routers {
+            let of = self.next % routers;
+            let block = of / BLOCK;
+            if wants.map_or(self.mixed[block] >= MIXED, |wants| wants[block]) {
+                let life = self.lives[of];
+                if life.start > 0 && !add(&mut out, of, life) {
+                    break;
+                }
+                (self.next, steps) = (of + 1, steps + 1);
+            } else {
+                let on = (block + 1) % blocks * BLOCK;
+                let passed = if on > of { on - of } else { routers - of };
+                (self.next, steps) = (on, steps + passed.max(1));
+            }
+        }
+        out.sort_unstable_by_key(|entry| entry.of);
+        out.dedup_by_key(|entry| entry.of);
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn life(start: u64, term: u32, mark: Mark) -> Life {
+        Life { start, term, mark }
+    }
+
+    #[test]
+    fn later_lives_replace_earlier_ones_and_two_books_agree_only_on_what_both_know() {
+        let (mut one, mut other) = (Book::new(130, 0.0), Book::new(130, 0.0));
+        assert_eq!(one.learn(3, life(100, 1, Mark::Here), 5.0), Some(Learned::Start));
+        assert_eq!(one.learn(3, life(100, 2, Mark::Here), 6.0), Some(Learned::Term));
+        assert_eq!(one.learn(3, life(100, 1, Mark::Gone), 7.0), None, "of an earlier term");
+        assert_eq!(one.learn(3, life(90, 9, Mark::Left), 7.0), None, "of an earlier start");
+        assert_eq!((one.life(3).term, one.start_at(3)), (2, 5.0));
+        let mut set = FixedBitSet::with_capacity(130);
+        set.insert(3);
+        assert_ne!(one.digest(&set, Kind::Heard), other.digest(&set, Kind::Heard));
+        assert_eq!(other.compare(&one.digests()), Some(vec![false, true, true]));
+        assert_eq!(other.learn(3, life(100, 1, Mark::Here), 9.0), Some(Learned::Start));
+        assert_eq!(other.compare(&one.digests()), Some(vec![true; 3]), "the same start");
+        assert_eq!(other.digest(&set, Kind::Heard), one.digest(&set, Kind::Heard));
+        assert_ne!(other.digest(&set, Kind::GivenUp), one.digest(&set, Kind::GivenUp), "in another term");
+        assert!(one.mark(3, Mark::Doubted, 9.0) && !one.mark(3, Mark::Here, 9.0));
+        assert_eq!(other.learn(3, one.life(3), 9.0), Some(Learned::Term));
+        assert_eq!(one.digests(), other.digests());
+        assert_eq!(other.compare(&[0; 5]), None);
+    }
+
+    #[test]
+    fn what_is_fresh_is_told_a_few_times_and_a_block_on_demand_whole() {
+        let mut book = Book::new(200, 0.0);
+        for of in 0..200 {
+            book.learn(of, life(1, 1, Mark::Here), 0.0);
+        }
+        let mut told = 0;
+        (0..400).for_each(|draw| told += book.entries(25, None, draw * 31).len());
+        assert_eq!(told, 200 * usize::from(TELLS));
+        let wants = [false, true, false, true];
+        let mut seen = std::collections::BTreeSet::new();
+        for _ in 0..8 {
+            seen.extend(book.entries(80, Some(&wants), 0).iter().map(|entry| usize::from(entry.of)));
+        }
+        assert_eq!(seen, (64..128).chain(192..200).collect());
+    }
+}
--- /dev/null
+++ b/src/fleet/rolls/mod.rs
@@ -0,0 +1,766 @@
+//! Membership of a large fleet: a roll is called twice a second, and whoever hears it signs it.
+//!
+//! Owns the [`Book`] of lives, what was heard of each router, the [`Calls`], and this router's [`Own`] standing: all bounded by
+//! the roster, [`MAX_ROUTERS`](super::MAX_ROUTERS), and a few epochs.
+//!
+//! Time is cut into *epochs*, which the whole fleet enters together as far as it can: whoever hears of a later one enters it.
+//! Each router tells the epoch it is in, and for everybody else the latest one that it knows of, two bits a router. At
+//! an epoch's end a clerk ([`pace`]) calls a roll of all that have been heard of since an epoch; it travels, and everybody
+//! whom it reaches has then heard of all in it, and signs it.
+//!
+//! The sentences of [`super`] are kept here by:
+//!
+//! - *Who is called gone knew before that it was cut off.* (1) A router has its standing by a roll that a majority has signed,
+//!   for `lease_ms` from when it entered the roll's epoch ([`Own::signed`]). (2) Whoever signs a roll counts its silence of all
+//!   in it from then on (`Rolls::hear_roll`), and gives a life up after at least `refuse_ms` of it (`Rolls::judge`);
+//!   never again does it sign a roll with that life ([`call::may_sign`], whose digest binds the lives). (3) A life is called gone
+//!   when so many have signed that they gave it up that the rest is no majority (`Rolls::verdict`), or when somebody tells that
+//!   ([`Mark::Gone`]). (4) `lease_ms` is shorter than `refuse_ms` by more than clocks differ: every majority of (1) has one of
+//!   (3), who signed before its silence began, so that the lease is over when it gives up. (5) A start without memory may have
+//!   given lives up before: who was in a term before it knew of that start does not count that start's name (`Rolls::counted`).
+//! - *No word about or from an earlier start counts*: starts only grow ([`Book::learn`]), and which epoch was heard of is taken
+//!   over only where both know the same starts ([`Book::compare`]).
+//! - *A term that has ended never comes back* ([`Own::settle`]).
+
+pub mod book;
+pub mod call;
+pub mod own;
+pub mod pace;
+pub mod set;
+mod view;
+pub mod wire;
+
+use super::allowance::Allowance;
+use super::patience::Patience;
+use super::settings::Id;
+use super::{Counts, Effect, Refused, Says, Settings, State};
+use crate::api::Millis;
+use book::{Book, Learned};
+use call::{Calls, Key, KEPT};
+use fixedbitset::FixedBitSet;
+use own::Own;
+use pace::Roles;
+use set::Lags;
+use std::net::SocketAddr;
+use twox_hash::XxHash64;
+use wire::{Entry, Kind, Life, Lives, Mark, Packet};
+
+/// Bytes of a datagram, usually at most, and of one for a router that knows little.
+const USUAL: usize = 900;
+const FULL: usize = 1190;
+/// Of these so many for lives, where there are some to tell.
+const LIVES: usize = 300;
+/// Time between two answers out of turn to one router, in ms.
+const ANSWER_MS: Millis = 150.0;
+/// Datagrams that are kept back from answers out of turn.
+const KEPT_BACK: usize = 4;
+/// A router asks for a new term if too few of those whom it may count are left, this long after the last one, in ms.
+const TERM_MS: Millis = 1000.0;
+/// How many more than a majority it wants, as a part of the fleet.
+const SPARE: f64 = 0.1;
+/// Who is to be given up within so many periods is called together with those who have been.
+const SOON: f64 = 3.0;
+/// Periods in which a new start becomes known to nearly all.
+const YOUNG: f64 = 3.0;
+/// One in so many of the passed on words goes to somebody who is missed.
+const FAR_EVERY: u64 = 6;
+/// Part that the latest news have in how late they usually are.
+const LATE_PART: f64 = 0.2;
+
+/// What is known of a router beside its life.
+#[derive(Clone, Debug)]
+struct Peer {
+    name: String,
+    address: SocketAddr,
+    /// The latest epoch that its start is known to have been in.
+    epoch: Option<u32>,
+    /// The same, by whoever may mean another start of it: good for nothing but that it is not silent.
+    loosely: Option<u32>,
+    /// When there was last news of it, moved on by this router's own standstills; from then on counts the silence.
+    heard_at: Millis,
+    /// How late news of it usually are: from when this router entered the epoch that they tell of.
+    late: Millis,
+    direct_at: Option<Millis>,
+    answered_at: Millis,
+    /// This router has given its life up, or the first one that it will hear of.
+    gave_up: bool,
+    state: State,
+    since: Millis,
+    why: String,
+}
+
+/// One router's picture of a large fleet.
+#[derive(Clone, Debug)]
+pub struct Rolls {
+    set: Settings,
+    /// This router's place in the roster.
+    me: usize,
+    start: u64,
+    roster: u32,
+    peers: Vec<Peer>,
+    book: Book,
+    calls: Calls,
+    own: Own,
+    /// What was last told of its standing.
+    says: (Says, u32),
+    patience: Patience,
+    epoch: u32,
+    /// When its last standstill ended.
+    awake_since: Millis,
+    /// When a start that was new here was last heard of.
+    start_learned: Millis,
+    roles: Roles,
+    /// When a hub tells the clerks, and when this router begins the next epoch.
+    hub_at: Option<Millis>,
+    ends_at: Millis,
+    judge_at: Millis,
+    allowance: Allowance,
+    /// Whom an answer out of turn is owed, and of which blocks: bounded by [`MOST_OWED`].
+    owed: Vec<(usize, Vec<bool>)>,
+    seed: u64,
+    draws: u64,
+    turns: usize,
+    leaves: bool,
+    effects: Vec<Effect>,
+    counts: Counts,
+}
+
+const MOST_OWED: usize = 16;
+
+impl Rolls {
+    /// One that begins now; the settings' names are [good](Settings::named).
+    pub fn new(set: Settings, name: &str, start: u64, now: Millis, seed: u64) -> Self {
+        let peer = |name: &str, address: SocketAddr| Peer {
+            name: name.to_owned(),
+            address,
+            epoch: None,
+            loosely: None,
+            heard_at: now,
+            late: 0.0,
+            direct_at: None,
+            answered_at: f64::NEG_INFINITY,
+            gave_up: false,
+            state: State::Joining,
+            since: now,
+            why: "not heard yet".to_owned(),
+        };
+        let mut peers: Vec<Peer> = set.peers.iter().map(|at| peer(&at.name, at.address)).collect();
+        peers.push(peer(name, set.listen));
+        // By their ids: the same order at all, whatever the files' order.
+        peers.sort_by_key(|peer| Id::of(&peer.name));
+        let me = peers.iter().position(|peer| peer.name == name).unwrap_or_default();
+        let ids: Vec<u8> = peers.iter().flat_map(|peer| Id::of(&peer.name).0).collect();
+        let count = peers.len();
+        let mut rolls = Self {
+            me,
+            start: start.max(1),
+            roster: XxHash64::oneshot(3, &ids) as u32,
+            peers,
+            book: Book::new(count, now),
+            calls: Calls::default(),
+            own: Own::new(set.lease_ms(), now),
+            says: (Says::Joining, 0),
+            patience: Patience::new(set.turn_ms(), set.period_ms, now),
+            epoch: 0,
+            awake_since: now,
+            start_learned: now,
+            roles: Roles::default(),
+            hub_at: None,
+            ends_at: now,
+            judge_at: now,
+            allowance: Allowance::new(now),
+            owed: Vec::new(),
+            seed,
+            draws: 0,
+            turns: 0,
+            leaves: false,
+            effects: Vec::new(),
+            counts: Counts::default(),
+            set,
+        };
+        rolls.tell_own(now);
+        rolls.own.entered(0, now);
+        // All of a fleet that starts at once do so at other times.
+        rolls.ends_at = now + rolls.set.period_ms * rolls.part();
+        rolls
+    }
+
+    /// What the file says.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// When the next turn is due.
+    pub fn next_due(&self) -> Millis {
+        self.judge_at.min(self.ends_at).min(self.hub_at.unwrap_or(f64::INFINITY))
+    }
+
+    /// What has come and gone.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// This start, as it is now known to others.
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
+    /// What this router can say of itself at this very moment.
+    pub fn standing(&self, now: Millis) -> (Says, u32) {
+        (self.own.says(now), self.own.term())
+    }
+
+    /// Takes the effects so far.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        XxHash64::oneshot(self.seed, &self.draws.to_le_bytes())
+    }
+
+    fn part(&mut self) -> f64 {
+        (self.draw() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// A datagram. One that is refused is counted and changes nothing.
+    pub fn heard(&mut self, now: Millis, bytes: &[u8]) -> Result<(), Refused> {
+        let taken = self.take(now, bytes);
+        match taken {
+            Ok(()) => self.counts.taken += 1,
+            Err(why) => *self.counts.refused.entry(why).or_default() += 1,
+        }
+        taken
+    }
+
+    fn take(&mut self, now: Millis, bytes: &[u8]) -> Result<(), Refused> {
+        let packet = wire::read(&self.set.fleet, bytes)?;
+        let (from, all) = (usize::from(packet.from), self.peers.len());
+        if packet.roster != self.roster || usize::from(packet.to) != self.me || from >= all || from == self.me
+        {
+            return Err(Refused::Stranger);
+        }
+        let lags = packet.lags.read(all).ok_or(Refused::Torn)?;
+        let own = packet.own;
+        let lives = packet.lives.read(own);
+        if packet.digests.len() != 6 * self.book.blocks()
+            || lives.iter().any(|one| usize::from(one.of) >= all)
+        {
+            return Err(Refused::Torn);
+        }
+        // What comes from an earlier start, or from long ago, says nothing any more.
+        let known = self.book.life(from);
+        if (own.start, own.term) < (known.start, known.term) {
+            return Err(Refused::Stale);
+        }
+        self.settle(now); // What has ended by now has ended before anything else is known.
+        self.allowance.refill(now);
+        self.learn(Entry { of: packet.from, life: own }, now);
+        lives.into_iter().for_each(|entry| self.learn(entry, now));
+        self.peers[from].direct_at = Some(now);
+        let same = self.book.compare(&packet.digests).unwrap_or_default();
+        let mut news = false;
+        for (of, step) in lags.iter().enumerate() {
+            let Some(ago) = Lags::epochs(*step) else { continue };
+            if of != self.me && of != from {
+                news |= self.hear(of, packet.epoch.saturating_sub(ago), same[of / book::BLOCK], now);
+            }
+        }
+        news |= self.hear(from, packet.epoch, true, now);
+        for told in &packet.rolls {
+            if let Some(key) = self.calls.told(told, all, self.epoch.max(packet.epoch)) {
+                self.review(key, now);
+            }
+        }
+        if !news && packet.epoch + KEPT < self.epoch {
+            return Err(Refused::Stale); // Said before, or heard before.
+        }
+        // Whoever lags behind, or alone knows something else, is told what it doesn't know.
+        let differs = self.book.alone(&packet.digests);
+        let behind = packet.epoch + 2 < self.epoch;
+        if (behind || differs.contains(&true)) && now - self.peers[from].answered_at >= ANSWER_MS {
+            let due = self.owed.iter().all(|(of, _)| *of != from) && self.owed.len() < MOST_OWED;
+            if due {
+                self.owed.push((from, differs));
+            }
+        }
+        if packet.epoch > self.epoch {
+            self.enter(packet.epoch, now);
+        }
+        self.settle(now);
+        self.answer(now);
+        Ok(())
+    }
+
+    /// A life of a router.
+    fn learn(&mut self, entry: Entry, now: Millis) {
+        let (of, life) = (usize::from(entry.of), entry.life);
+        if of == self.me {
+            self.learn_own(life, now);
+            return;
+        }
+        let unheard = self.book.life(of).start == 0;
+        let Some(learned) = self.book.learn(of, life, now) else { return };
+        let peer = &mut self.peers[of];
+        if learned != Learned::Mark {
+            // One that was given up unheard may be known to others in this very life: they are told that it is doubted.
+            let doubts = unheard && peer.gave_up;
+            peer.gave_up = doubts;
+            if learned == Learned::Start {
+                self.start_learned = now;
+                (peer.epoch, peer.loosely, peer.late) = (None, None, 0.0);
+            }
+            if doubts {
+                self.book.mark(of, Mark::Doubted, now);
+            }
+        }
+        match (self.book.life(of).mark, learned) {
+            (Mark::Left, _) => self.change(of, State::Left, now, "it has said that it ends".to_owned()),
+            (Mark::Gone, _) => self.gone(of, now, "given up by so many that it has no majority".to_owned()),
+            (_, Learned::Start) if !unheard => {
+                self.peers[of].heard_at = now;
+                self.change(of, State::Alive, now, "it has started anew".to_owned());
+            }
+            (_, Learned::Start) => {
+                self.peers[of].heard_at = now;
+                self.change(of, State::Alive, now, "heard for the first time".to_owned());
+            }
+            (_, Learned::Term) if self.peers[of].state == State::Gone => {
+                self.peers[of].heard_at = now;
+                self.change(of, State::Alive, now, "it is back in a new term".to_owned());
+            }
+            _ => {}
+        }
+    }
+
+    /// What others say of this router.
+    fn learn_own(&mut self, life: Life, now: Millis) {
+        if life.start > self.start {
+            // Another process has this router's name with a later start: an earlier process, where the Unix clock was set
+            // back since, or one that should not be. Whoever still speaks takes a start above it.
+            self.start = life.start.saturating_add(1);
+            self.own.renamed(now);
+            self.effects.push(Effect::Renamed(self.start));
+            self.tell_own(now);
+        } else if life.start == self.start
+            && life.term == self.own.wanted()
+            && life.mark > Mark::Here
+            && !self.leaves
+        {
+            self.own.ask_for(life.term + 1, now);
+            self.tell_own(now);
+        }
+    }
+
+    /// This router's own life is told, as it is now.
+    fn tell_own(&mut self, now: Millis) {
+        let mark = if self.leaves { Mark::Left } else { Mark::Here };
+        let life = Life { start: self.start, term: self.own.wanted(), mark };
+        self.book.learn(self.me, life, now);
+    }
+
+    /// A router was in this epoch. `surely`: in this start of it; else it only is not silent.
+    fn hear(&mut self, of: usize, epoch: u32, surely: bool, now: Millis) -> bool {
+        let peer = &mut self.peers[of];
+        if self.book.life(of).start == 0 {
+            return false;
+        }
+        // Words that may be about the start before bring no news again and again: they end where that one ended.
+        if surely && peer.epoch.is_none_or(|known| epoch > known) {
+            peer.epoch = Some(epoch);
+        } else if surely || peer.loosely.is_some_and(|known| epoch <= known) {
+            return false;
+        }
+        if peer.loosely.is_some_and(|known| epoch <= known) {
+            return true;
+        }
+        peer.loosely = Some(epoch);
+        peer.heard_at = now;
+        let late = self.own.entered_at(epoch).map_or(0.0, |at| now - at).min(self.set.suspect_ms());
+        peer.late += LATE_PART * (late - peer.late);
+        let back =
+            matches!(peer.state, State::Suspect | State::Joining) && self.book.life(of).mark < Mark::Gone;
+        // What is long past doesn't show that it is there.
+        if back && self.overdue(of, now) < self.limit(of) {
+            self.change(of, State::Alive, now, "heard again".to_owned());
+        }
+        true
+    }
+
+    /// For how long one has been missed: since this router entered the epoch after the last that it is known to have been in.
+    fn overdue(&self, of: usize, now: Millis) -> Millis {
+        let peer = &self.peers[of];
+        let since = match peer.loosely {
+            Some(epoch) => self.own.entered_at(epoch.saturating_add(1)),
+            None => Some(peer.heard_at),
+        };
+        since.map_or(0.0, |since| now - since.max(self.awake_since))
+    }
+
+    /// For how long one may be missed before it is suspected: longer where news of it usually come later, as through a lossy
+    /// net, and where this router itself runs late.
+    fn limit(&self, of: usize) -> Millis {
+        let usual = (self.peers[of].late - self.set.period_ms).clamp(0.0, self.set.suspect_ms() / 2.0);
+        self.set.suspect_ms() + usual + self.patience.late_ms()
+    }
+
+    fn change(&mut self, of: usize, state: State, now: Millis, why: String) {
+        let life = self.book.life(of);
+        let peer = &mut self.peers[of];
+        let states = (peer.state, state);
+        if states.0 == state && peer.why == why {
+            return;
+        }
+        (peer.state, peer.since, peer.why) = (state, now, why.clone());
+        let name = peer.name.clone();
+        self.effects.push(Effect::Changed { name, start: life.start, term: life.term, states, why });
+    }
+
+    fn gone(&mut self, of: usize, now: Millis, why: String) {
+        if self.peers[of].state != State::Gone {
+            self.change(of, State::Gone, now, why);
+        }
+    }
+
+    /// A roll that is new here, or has new names: signed if it may be, and what follows from it.
+    fn review(&mut self, key: Key, now: Millis) {
+        let Some(roll) = self.calls.get(&key) else { return };
+        if !roll.signed.contains(self.me) {
+            let peers = &self.peers;
+            if call::may_sign(&key, roll, &self.book, |of| peers[of].gave_up) {
+                self.hear_roll(key, now);
+                self.calls.sign(&key, self.me);
+            }
+        }
+        match key.0 {
+            Kind::Heard => self.certify(key, now),
+            Kind::GivenUp => self.verdict(key, now),
+        }
+    }
+
+    fn review_all(&mut self, kind: Kind, now: Millis) {
+        let keys: Vec<Key> = self.calls.of(kind).map(|(key, _)| *key).collect();
+        keys.into_iter().for_each(|key| self.review(key, now));
+    }
+
+    /// Whoever signs that these were in an epoch knows it from now on, if it did not before: so its silence of each began after
+    /// that one had entered the epoch.
+    fn hear_roll(&mut self, key: Key, now: Millis) {
+        if key.0 == Kind::Heard {
+            let Some(roll) = self.calls.get(&key) else { return };
+            let since = roll.since;
+            let these: Vec<usize> = roll.set.ones().filter(|of| *of != self.me).collect();
+            for of in these {
+                self.hear(of, since, true, now);
+            }
+        }
+    }
+
+    /// Whose names count for a term that began then: a start that became known later may have given it up, before.
+    fn counted(&self, begun: Millis) -> impl Fn(&usize) -> bool + '_ {
+        move |of| *of == self.me || self.book.life(*of).start > 0 && self.book.start_at(*of) <= begun
+    }
+
+    /// Whether a majority has heard this router, by that roll.
+    fn certify(&mut self, key: Key, now: Millis) {
+        let Some(roll) = self.calls.get(&key) else { return };
+        if !roll.set.contains(self.me) || roll.signed.count_ones(..) < self.set.majority() {
+            return;
+        }
+        if roll.digest != self.book.digest(&roll.set, Kind::Heard) {
+            return;
+        }
+        let names = roll.signed.ones().filter(self.counted(self.own.begun())).count();
+        if names >= self.set.majority() {
+            self.own.signed(roll.since, now);
+        }
+    }
+
+    /// Whether so many have given up all in a roll that the rest is no majority.
+    fn verdict(&mut self, key: Key, now: Millis) {
+        let Some(roll) = self.calls.get(&key) else { return };
+        let names = roll.signed.count_ones(..);
+        if names < self.set.blocking() || roll.digest != self.book.digest(&roll.set, Kind::GivenUp) {
+            return;
+        }
+        // Of one that was never heard there is no life to bind: this router must have missed it for as long itself.
+        let binds = |of: &usize| self.book.life(*of).start > 0 || self.peers[*of].gave_up;
+        let these: Vec<usize> = roll.set.ones().filter(|of| *of != self.me).filter(binds).collect();
+        let all = self.set.routers();
+        for of in these {
+            let life = self.book.life(of);
+            if life.mark < Mark::Gone {
+                if life.start > 0 {
+                    self.book.mark(of, Mark::Gone, now);
+                }
+                let silent = now - self.peers[of].heard_at;
+                self.gone(
+                    of,
+                    now,
+                    format!("{names} of {all} have given it up, {silent:.0} ms after the last word here"),
+                );
+            }
+        }
+    }
+
+    /// Takes the time into account in this router's own standing.
+    fn settle(&mut self, now: Millis) {
+        let until = self.own.holds_until();
+        let wanted = self.own.wanted();
+        self.own.settle(now);
+        let (says, term) = self.standing(now);
+        if (says, term) != self.says {
+            self.says = (says, term);
+            let ago_ms = if says == Says::CutOff { (now - until).max(0.0) } else { 0.0 };
+            let heard_by = (self.heard_by(now), self.set.routers());
+            self.effects.push(Effect::Standing { says, term, ago_ms, heard_by });
+        }
+        if wanted != self.own.wanted() {
+            self.tell_own(now);
+        }
+    }
+
+    /// How many have signed the latest roll that this router is in, itself among them.
+    pub(super) fn heard_by(&self, now: Millis) -> usize {
+        let mine = self.calls.of(Kind::Heard).filter(|(_, roll)| roll.set.contains(self.me));
+        let most = mine.map(|(_, roll)| roll.signed.count_ones(..)).max().unwrap_or(1);
+        if self.own.holds(now) {
+            most.max(self.set.majority())
+        } else {
+            most
+        }
+    }
+
+    /// A turn: judges the silent, and sends what is due.
+    pub fn turn(&mut self, now: Millis) {
+        if now < self.next_due() {
+            return;
+        }
+        self.settle(now);
+        self.allowance.refill(now);
+        if now >= self.judge_at {
+            if let Some(gap) = self.patience.turn(now) {
+                // While this router stood still it could hear nobody: that silence is its own.
+                self.peers.iter_mut().for_each(|peer| peer.heard_at = (peer.heard_at + gap).min(now));
+                self.awake_since = now;
+                self.effects.push(Effect::Stalled(gap));
+            }
+            let turn_ms = self.set.turn_ms();
+            self.judge_at = (self.judge_at + turn_ms).max(now + turn_ms / 2.0);
+            for of in (0..self.peers.len()).filter(|of| *of != self.me).collect::<Vec<_>>() {
+                self.judge(of, now);
+            }
+            self.review_all(Kind::GivenUp, now);
+            self.renew(now);
+        }
+        if self.hub_at.is_some_and(|at| now >= at) {
+            self.hub_at = None;
+            for of in self.roles.clerks.clone() {
+                self.send(of, None);
+            }
+        }
+        if now >= self.ends_at {
+            self.call(now);
+            self.enter(self.epoch + 1, now);
+        }
+        self.answer(now);
+    }
+
+    /// Whether another one is silent, and whether it is given up.
+    fn judge(&mut self, of: usize, now: Millis) {
+        let peer = &self.peers[of];
+        if matches!(peer.state, State::Gone | State::Left) || !self.patience.judges(now) {
+            return;
+        }
+        let overdue = self.overdue(of, now);
+        if overdue < self.limit(of) {
+            return;
+        }
+        if peer.state != State::Suspect {
+            let unheard = self.book.life(of).start == 0;
+            let why = if unheard {
+                "never heard since this router's start".to_owned()
+            } else {
+                format!("not heard for {overdue:.0} ms")
+            };
+            self.change(of, State::Suspect, now, why);
+        }
+        // One without a majority can't tell who of the two is cut off.
+        let peer = &self.peers[of];
+        if peer.gave_up
+            || !self.own.holds(now)
+            || now - peer.heard_at < self.set.refuse_ms() + self.patience.late_ms()
+        {
+            return;
+        }
+        self.peers[of].gave_up = true;
+        if self.book.life(of).start > 0 {
+            self.book.mark(of, Mark::Doubted, now);
+        }
+    }
+
+    /// A router that may count too few of the others asks for the next term, in which it counts all that it knows by now.
+    fn renew(&mut self, now: Millis) {
+        let begun = self.own.begun();
+        let settled = now - self.start_learned >= TERM_MS / 2.0 || now - begun >= 3.0 * TERM_MS;
+        if now - begun < TERM_MS || !settled || self.leaves {
+            return;
+        }
+        let lives = |of: &usize| self.peers[*of].state == State::Alive || *of == self.me;
+        let living = (0..self.peers.len()).filter(lives);
+        let wanted = self.set.majority() + (SPARE * self.peers.len() as f64) as usize;
+        let (all, counted) = (living.clone().count(), living.filter(self.counted(begun)).count());
+        if counted < wanted.min(all) && all >= self.set.majority() {
+            self.own.ask_for(self.own.wanted() + 1, now);
+            self.tell_own(now);
+        }
+    }
+
+    /// This router begins the next epoch: it calls the rolls of this one.
+    fn call(&mut self, now: Millis) {
+        let mut heard: Vec<Option<u32>> = self.peers.iter().map(|peer| peer.epoch).collect();
+        heard[self.me] = Some(self.epoch);
+        // What not all can know yet is left out, or few could sign: where that leaves no majority all are young.
+        let young = |of: usize| of != self.me && now - self.book.start_at(of) < YOUNG * self.set.period_ms;
+        let old = (0..self.peers.len()).filter(|of| !young(*of)).count();
+        let without = |of: usize| self.peers[of].gave_up || old >= self.set.majority() && young(of);
+        // Where words are slow an earlier epoch has more of them: the latest that lacks few.
+        let sets: Vec<FixedBitSet> = (0..4)
+            .map(|ago| {
+                let mut set = call::heard_since(self.epoch.saturating_sub(ago), &heard, &self.book);
+                (0..self.peers.len()).filter(|of| without(*of)).for_each(|of| set.set(of, false));
+                set
+            })
+            .collect();
+        let most = sets.iter().map(|set| set.count_ones(..)).max().unwrap_or(0);
+        let enough = most - most / 32;
+        let ago = sets.iter().position(|set| set.count_ones(..) >= enough).unwrap_or(0);
+        let epoch = self.epoch.saturating_sub(ago as u32);
+        let set = sets.into_iter().nth(ago).filter(|set| set.count_ones(..) >= self.set.majority());
+        if let Some(set) = set {
+            self.calls.call(Kind::Heard, [self.epoch, epoch], self.me, set, &self.book);
+        }
+        // Whom all agree to have given up must not wait for those on whom they differ: every other roll has half of them.
+        let mut given_up = FixedBitSet::with_capacity(self.peers.len());
+        let half = self.epoch.is_multiple_of(8);
+        for of in 0..self.peers.len() {
+            let counts = !half || call::rank(self.epoch, of).is_multiple_of(2);
+            let soon = self.peers[of].state == State::Suspect
+                && now - self.peers[of].heard_at >= self.set.refuse_ms() - SOON * self.set.period_ms;
+            if counts && (soon || self.peers[of].gave_up) && self.peers[of].state != State::Gone {
+                given_up.insert(of);
+            }
+        }
+        if given_up.count_ones(..) > 0 && !self.calls.gathers(Kind::GivenUp, self.epoch, &given_up) {
+            self.calls.call(Kind::GivenUp, [self.epoch; 2], self.me, given_up, &self.book);
+        }
+        let mine: Vec<Key> = [Kind::Heard, Kind::GivenUp]
+            .into_iter()
+            .flat_map(|kind| self.calls.of(kind).map(|(key, _)| *key))
+            .filter(|key| usize::from(key.3) == self.me)
+            .collect();
+        mine.into_iter().for_each(|key| self.review(key, now));
+    }
+
+    /// A later epoch: it is told on at once, and what is known here is told to those who gather it.
+    fn enter(&mut self, epoch: u32, now: Millis) {
+        self.epoch = epoch;
+        self.own.entered(epoch, now);
+        self.calls.entered(epoch);
+        let (me, peers) = (self.me, &self.peers);
+        let may = |of: usize| of == me || matches!(peers[of].state, State::Alive | State::Joining);
+        self.roles = pace::roles(epoch, peers.len(), may);
+        let period = self.set.period_ms;
+        self.hub_at = self.roles.gathered(me, period).map(|wait| now + wait);
+        let part = self.part();
+        self.ends_at = now + self.roles.ends(me, period, part);
+        // Names that were given meanwhile, and lives that are known by now, may have made more rolls good.
+        self.review_all(Kind::GivenUp, now);
+        self.review_all(Kind::Heard, now);
+        self.settle(now);
+        let on = pace::ON + usize::from(self.allowance.left() > 2 * KEPT_BACK);
+        for _ in 0..on {
+            if let Some(of) = self.anybody() {
+                self.send(of, None);
+            }
+        }
+        for of in self.roles.up(me, epoch) {
+            self.send(of, None);
+        }
+    }
+
+    /// Some other router, mostly one that is there.
+    fn anybody(&mut self) -> Option<usize> {
+        let count = self.peers.len();
+        let far = self.draw().is_multiple_of(FAR_EVERY);
+        let from = self.draw() as usize;
+        let wanted = |of: &usize| *of != self.me && (matches!(self.peers[*of].state, State::Alive) != far);
+        let ring = (0..count).map(|step| (from + step) % count);
+        ring.clone().find(wanted).or_else(|| ring.into_iter().find(|of| *of != self.me))
+    }
+
+    /// Answers out of turn, as far as datagrams are to spare.
+    fn answer(&mut self, now: Millis) {
+        while self.allowance.left() > KEPT_BACK {
+            let Some((of, wants)) = self.owed.pop() else { return };
+            self.peers[of].answered_at = now;
+            self.send(of, Some(&wants));
+        }
+    }
+
+    fn send(&mut self, of: usize, wants: Option<&[bool]>) {
+        if of == self.me || self.allowance.left() == 0 {
+            return;
+        }
+        self.allowance.take();
+        self.turns += 1;
+        let lag = |at: usize| match self.peers[at].epoch {
+            _ if at == self.me => 0,
+            Some(known) => Lags::step(self.epoch.saturating_sub(known)),
+            None => set::LONG,
+        };
+        let steps: Vec<u8> = (0..self.peers.len()).map(lag).collect();
+        let mut packet = Packet {
+            roster: self.roster,
+            from: self.me as u16,
+            to: of as u16,
+            epoch: self.epoch,
+            lags: Lags::of(&steps),
+            digests: self.book.digests(),
+            rolls: Vec::new(),
+            own: self.book.life(self.me),
+            lives: Lives::default(),
+        };
+        let lives = if wants.is_some() { LIVES } else { self.book.to_tell(LIVES) };
+        let room = wire::room(&packet, USUAL).saturating_sub(lives);
+        packet.rolls = self.calls.tell([self.set.majority(), self.set.blocking()], self.turns, room);
+        let room = wire::room(&packet, if wants.is_some() { FULL } else { USUAL });
+        let draw = self.draw() as usize;
+        let mut lives = self.book.entries(room, wants, draw);
+        packet.lives = Lives::of(packet.own, lives.clone());
+        let mut bytes = wire::write(&self.set.fleet, &packet);
+        while bytes.len() > super::wire::MAX_DATAGRAM && !lives.is_empty() {
+            lives.truncate(lives.len() / 2); // Starts that differ by more than those of any clock.
+            packet.lives = Lives::of(packet.own, lives.clone());
+            bytes = wire::write(&self.set.fleet, &packet);
+        }
+        let to = self.peers[of].address;
+        self.counts.sent += 1;
+        self.counts.sent_bytes += bytes.len() as u64;
+        self.effects.push(Effect::Send { to, bytes });
+    }
+
+    /// This router ends: some others are told, out of turn, who pass it on.
+    pub fn leave(&mut self, now: Millis) {
+        self.leaves = true;
+        self.tell_own(now);
+        let tells = self.peers.len().min(24);
+        self.allowance.raise(tells);
+        for _ in 0..tells {
+            if let Some(of) = self.anybody() {
+                self.send(of, None);
+            }
+        }
+    }
+}
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use twox_hash::XxHash64;
 
-/// Routers in one fleet, at most: each one's row, with a word about every other, is to fit one datagram.
-pub const MAX_ROUTERS: usize = 64;
+/// Routers in one fleet, at most: what a datagram says of all of them is to fit it.
+pub const MAX_ROUTERS: usize = 1024;
+/// Up to so many pass on rows of who has heard whom; more call rolls. Measured: at 24, rows are too slow to keep pace.
+pub const ROWS_UPTO: usize = 16;
 /// Bytes of a router's or a fleet's name.
 pub const MAX_NAME: usize = 64;
 /// Clocks that should run alike may differ by so much of a time.
@@ -13,6 +15,11 @@
 /// A period holds so many turns, each of which sends one datagram.
 const TURNS: f64 = 5.0;
 
+/// Where rolls are called: periods of silence before one is suspected, and those by which it is given up later than by the least
+/// suspicion.
+const ROLLS_MISSED: f64 = 3.3;
+const ROLLS_MORE: f64 = 2.0;
+
 /// A router's name as datagrams carry it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Id(pub [u8; 4]);
@@ -46,13 +53,42 @@
     pub period_ms: Millis,
     /// Least and most time from suspicion to the word that a router is gone.
     pub suspicion_ms: [Millis; 2],
+    /// From so many routers on the fleet calls rolls: [`ROWS_UPTO`] and one, but for tests.
+    pub rolls_from: usize,
 }
 
 impl Settings {
     /// The usual times.
     pub fn new(fleet: &str, listen: SocketAddr) -> Self {
         let fleet = fleet.to_owned();
-        Self { fleet, listen, peers: Vec::new(), period_ms: 500.0, suspicion_ms: [4000.0, 8000.0] }
+        Self {
+            fleet,
+            listen,
+            peers: Vec::new(),
+            period_ms: 500.0,
+            suspicion_ms: [4000.0, 8000.0],
+            rolls_from: ROWS_UPTO + 1,
+        }
+    }
+
+    /// Whether a router of this name can be in this fleet; else why not.
+    pub fn named(&self, name: &str) -> Result<(), String> {
+        if self.peers.iter().any(|peer| peer.name == name) {
+            return Err(format!("{name} is among its own peers"));
+        }
+        let names = self.peers.iter().map(|peer| peer.name.as_str()).chain([name]);
+        let ids: std::collections::BTreeSet<Id> = names.map(Id::of).collect();
+        if ids.len() < self.routers() {
+            return Err(format!(
+                "the fleet has two names that datagrams can't tell apart; {name} is one, or two peers"
+            ));
+        }
+        Ok(())
+    }
+
+    /// Whether the fleet is large: see [`rolls`](super::rolls).
+    pub fn calls_rolls(&self) -> bool {
+        self.routers() >= self.rolls_from
     }
 
     /// Routers that the file names, this one among them.
@@ -82,6 +118,9 @@
 
     /// Silence after which a router that is heard directly is suspected.
     pub fn suspect_ms(&self) -> Millis {
+        if self.calls_rolls() {
+            return ROLLS_MISSED * self.period_ms;
+        }
         // In a large fleet the newest words of some come later than those of most.
         let more = 0.03 * self.peers.len().saturating_sub(11) as f64;
         (3.3 + more.min(1.0)) * self.period_ms
@@ -107,6 +146,10 @@
 
     /// What is added to the least suspicion, as datagrams go to more than a dozen by turns.
     pub fn more_ms(&self) -> Millis {
+        if self.calls_rolls() {
+            // A roll goes out, is signed, and comes back: a lease bears that this happens seldom for a while.
+            return ROLLS_MORE * self.period_ms;
+        }
         0.4 * self.turn_ms() * self.peers.len().saturating_sub(11) as f64
     }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,8 +1,9 @@
 //! The picture that operators get.
 
 use super::member::Member;
+use super::rows::Rows;
 use super::wire::Says;
-use super::{Fleet, Path, State};
+use super::{Path, State};
 use crate::api::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -61,14 +62,14 @@
     }
 }
 
-impl Fleet {
+impl Rows {
     /// The picture at this moment.
     pub fn view(&self, now: Millis) -> View {
         let (says, term) = self.standing(now);
         let standing = if self.leaves { Says::Left } else { says }.word().to_owned();
         let me = Me {
             name: self.name.clone(),
-            start: self.start.to_string(),
+            start: self.start().to_string(),
             standing,
             term,
             heard_by: self.ledger.heard_by(now - self.born),
@@ -103,7 +104,8 @@
         let direct_ms = self.set.direct_ms();
         let (heard, fresh) = (self.hears(at, now), member.silent(now) < 2.0 * self.set.suspect_ms());
         let answer = self.ledger.answer(at).filter(|answer| {
-            answer.direct && now - self.born - f64::from(answer.beat) * super::BEAT_MS < 2.0 * direct_ms
+            answer.direct
+                && now - self.born - f64::from(answer.beat) * super::standing::BEAT_MS < 2.0 * direct_ms
         });
         match (member.row.is_some() && (fresh || heard), heard, answer.is_some()) {
             (false, ..) => Path::None,
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -11,10 +11,13 @@
 pub const MAX_DATAGRAM: usize = 1200;
 /// Fill of a datagram that takes rows of others along.
 const RELAYED: usize = 800;
-const MAGIC: [u8; 2] = *b"ff";
+/// What is behind a head: rows, or a word of a roll call.
+pub(super) const ROWS: [u8; 2] = *b"ff";
+/// See [`ROWS`].
+pub(super) const ROLLS: [u8; 2] = *b"fr";
 const VERSION: u8 = 1;
 /// Magic, version, fleet and checksum.
-const HEAD: usize = 2 + 1 + 4 + 8;
+pub(super) const HEAD: usize = 2 + 1 + 4 + 8;
 /// Of rows and of words in a row: a datagram has no room for more.
 const MOST_ROWS: usize = 64;
 
@@ -139,25 +142,34 @@
         }
         packet.rows.push(row);
     }
-    let body = bytes(&packet);
-    let sum = XxHash64::oneshot(u64::from(VERSION), &body);
-    let bytes = [&MAGIC[..], &[VERSION], &fleet_tag(fleet), &sum.to_le_bytes(), &body].concat();
-    (bytes, packet.rows.len() - own)
+    (seal(ROWS, fleet, &bytes(&packet)), packet.rows.len() - own)
 }
 
-/// Reads a datagram of this fleet.
-pub fn read(fleet: &str, bytes: &[u8]) -> Result<Packet, Refused> {
+/// A datagram's bytes: its head, then what it holds.
+pub(super) fn seal(kind: [u8; 2], fleet: &str, body: &[u8]) -> Vec<u8> {
+    let sum = XxHash64::oneshot(u64::from(VERSION), body);
+    [&kind[..], &[VERSION], &fleet_tag(fleet), &sum.to_le_bytes(), body].concat()
+}
+
+/// What a datagram of this fleet holds.
+pub(super) fn open<'a>(kind: [u8; 2], fleet: &str, bytes: &'a [u8]) -> Result<&'a [u8], Refused> {
     if bytes.len() < HEAD || bytes.len() > MAX_DATAGRAM {
         return Err(Refused::Length);
     }
     let (head, body) = bytes.split_at(HEAD);
     let version = head[2];
-    if head[..2] != MAGIC || version < VERSION || head[3..7] != fleet_tag(fleet) {
+    if head[..2] != kind || version < VERSION || head[3..7] != fleet_tag(fleet) {
         return Err(Refused::Foreign);
     }
     if head[7..] != XxHash64::oneshot(u64::from(version), body).to_le_bytes() {
         return Err(Refused::Torn);
     }
+    Ok(body)
+}
+
+/// Reads a datagram of this fleet.
+pub fn read(fleet: &str, bytes: &[u8]) -> Result<Packet, Refused> {
+    let body = open(ROWS, fleet, bytes)?;
     let (packet, _later): (Packet, _) = postcard::take_from_bytes(body).map_err(|_| Refused::Torn)?;
     let fits = |row: &Row| row.heard.len() <= MOST_ROWS;
     if packet.rows.is_empty()
@@ -173,7 +185,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::fleet::settings::MAX_ROUTERS;
+    use crate::fleet::settings::ROWS_UPTO;
     use quickcheck::{Gen, QuickCheck};
 
     fn row(who: &str, others: usize) -> Row {
@@ -212,13 +224,13 @@
         // A later version's datagram: more fields at the end, under its own number.
         let body = [&bytes[HEAD..], b"more"].concat();
         let sum = XxHash64::oneshot(2, &body).to_le_bytes();
-        let later = [&MAGIC[..], &[2], &fleet_tag("north"), &sum, &body].concat();
+        let later = [&ROWS[..], &[2], &fleet_tag("north"), &sum, &body].concat();
         assert_eq!(read("north", &later), Ok(packet));
     }
 
     #[test]
     fn the_largest_fleet_fits_a_datagram_and_rows_without_room_are_left_out() {
-        let most = MAX_ROUTERS - 1;
+        let most = ROWS_UPTO - 1;
         let packet = |others| {
             let given_up = vec![GivenUp { of: Id::of("d"), tag: u16::MAX, term: u32::MAX, by: u64::MAX }; 3];
             Packet {
@@ -240,7 +252,7 @@
     fn no_bytes_make_the_reader_panic() {
         fn property(bytes: Vec<u8>) -> bool {
             let sum = XxHash64::oneshot(1, &bytes).to_le_bytes();
-            let whole = [&MAGIC[..], &[1], &fleet_tag("n"), &sum, &bytes].concat();
+            let whole = [&ROWS[..], &[1], &fleet_tag("n"), &sum, &bytes].concat();
             read("n", &bytes).is_err()
                 && read("n", &whole).map_or(true, |packet| packet.rows.len() <= MOST_ROWS)
         }
