Sign rolls but for whom one can't vouch, tell the gone at a turn, and let late words pass by

One router on which some differ held up the verdict on all called with it; queued words after a standstill called back ones gone; in rough links rolls superseded each other before they had their names.

Ruled out: forced signatures after 3 epochs (they leave out most), tighter staleness of 1.7 periods (standings lapse in rough links).

--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -41,6 +41,7 @@
 use own::Own;
 use pace::Roles;
 use set::Lags;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use twox_hash::XxHash64;
 use wire::{Entry, Kind, Life, Lives, Mark, Packet};
@@ -50,18 +51,28 @@
 const FULL: usize = 1190;
 /// Of these so many for lives, where there are some to tell.
 const LIVES: usize = 300;
+/// A roll may lack one in so many of those that were heard of.
+const LACKS: usize = 10;
+/// Periods after which words of an epoch are too old, where most come in time.
+const STALE: f64 = 2.3;
+/// Epochs in which a router waits until it can say all that a roll of the given up says.
+const WAITS: u32 = 6;
+/// Part of the time to suspicion after which another one is asked.
+const ASK_PART: f64 = 0.7;
 /// Time between two answers out of turn to one router, in ms.
 const ANSWER_MS: Millis = 150.0;
 /// Datagrams that are kept back from answers out of turn.
-const KEPT_BACK: usize = 4;
+const KEPT_BACK: usize = 5;
 /// A router asks for a new term if too few of those whom it may count are left, this long after the last one, in ms.
 const TERM_MS: Millis = 1000.0;
 /// How many more than a majority it wants, as a part of the fleet.
 const SPARE: f64 = 0.1;
 /// Who is to be given up within so many periods is called together with those who have been.
-const SOON: f64 = 3.0;
+const SOON: f64 = 2.0;
 /// Periods in which a new start becomes known to nearly all.
 const YOUNG: f64 = 3.0;
+/// And by how much more if all routers were young, as a part of that.
+const MANY_YOUNG: f64 = 6.0;
 /// One in so many of the passed on words goes to somebody who is missed.
 const FAR_EVERY: u64 = 6;
 /// Part that the latest news have in how late they usually are.
@@ -82,6 +93,8 @@
     late: Millis,
     direct_at: Option<Millis>,
     answered_at: Millis,
+    /// Why it is gone, where that is new and not told yet.
+    verdict: Option<String>,
     /// This router has given its life up, or the first one that it will hear of.
     gave_up: bool,
     state: State,
@@ -105,6 +118,8 @@
     says: (Says, u32),
     patience: Patience,
     epoch: u32,
+    /// How late news are, usually: as [`Peer::late`], of all.
+    late: Millis,
     /// When its last standstill ended.
     awake_since: Millis,
     /// When a start that was new here was last heard of.
@@ -113,6 +128,8 @@
     /// When a hub tells the clerks, and when this router begins the next epoch.
     hub_at: Option<Millis>,
     ends_at: Millis,
+    /// Datagrams that leave within the epoch, and for whom; none: anybody. Two at most.
+    later: VecDeque<(Millis, Option<usize>)>,
     judge_at: Millis,
     allowance: Allowance,
     /// Whom an answer out of turn is owed, and of which blocks: bounded by [`MOST_OWED`].
@@ -121,6 +138,9 @@
     draws: u64,
     turns: usize,
     leaves: bool,
+    /// Somebody is about to be suspected: others are asked for what they know, and when that was last done.
+    asks: bool,
+    asked_at: Millis,
     effects: Vec<Effect>,
     counts: Counts,
 }
@@ -139,6 +159,7 @@
             late: 0.0,
             direct_at: None,
             answered_at: f64::NEG_INFINITY,
+            verdict: None,
             gave_up: false,
             state: State::Joining,
             since: now,
@@ -162,11 +183,13 @@
             says: (Says::Joining, 0),
             patience: Patience::new(set.turn_ms(), set.period_ms, now),
             epoch: 0,
+            late: 0.0,
             awake_since: now,
             start_learned: now,
             roles: Roles::default(),
             hub_at: None,
             ends_at: now,
+            later: VecDeque::new(),
             judge_at: now,
             allowance: Allowance::new(now),
             owed: Vec::new(),
@@ -174,6 +197,8 @@
             draws: 0,
             turns: 0,
             leaves: false,
+            asks: false,
+            asked_at: f64::NEG_INFINITY,
             effects: Vec::new(),
             counts: Counts::default(),
             set,
@@ -192,7 +217,11 @@
 
     /// When the next turn is due.
     pub fn next_due(&self) -> Millis {
-        self.judge_at.min(self.ends_at).min(self.hub_at.unwrap_or(f64::INFINITY))
+        let later = self.later.front().map(|(at, _)| *at);
+        self.judge_at
+            .min(self.ends_at)
+            .min(later.or(self.hub_at).unwrap_or(f64::INFINITY))
+            .min(self.hub_at.unwrap_or(f64::INFINITY))
     }
 
     /// What has come and gone.
@@ -244,9 +273,7 @@
         let lags = packet.lags.read(all).ok_or(Refused::Torn)?;
         let own = packet.own;
         let lives = packet.lives.read(own);
-        if packet.digests.len() != 6 * self.book.blocks()
-            || lives.iter().any(|one| usize::from(one.of) >= all)
-        {
+        if !self.book.fits(&packet.digests) || lives.iter().any(|one| usize::from(one.of) >= all) {
             return Err(Refused::Torn);
         }
         // What comes from an earlier start, or from long ago, says nothing any more.
@@ -264,10 +291,11 @@
         for (of, step) in lags.iter().enumerate() {
             let Some(ago) = Lags::epochs(*step) else { continue };
             if of != self.me && of != from {
-                news |= self.hear(of, packet.epoch.saturating_sub(ago), same[of / book::BLOCK], now);
+                let epoch = packet.epoch.saturating_sub(ago);
+                news |= !self.stale(epoch, now) && self.hear(of, epoch, same[of / book::BLOCK], now);
             }
         }
-        news |= self.hear(from, packet.epoch, true, now);
+        news |= !self.stale(packet.epoch, now) && self.hear(from, packet.epoch, true, now);
         for told in &packet.rolls {
             if let Some(key) = self.calls.told(told, all, self.epoch.max(packet.epoch)) {
                 self.review(key, now);
@@ -277,9 +305,11 @@
             return Err(Refused::Stale); // Said before, or heard before.
         }
         // Whoever lags behind, or alone knows something else, is told what it doesn't know.
-        let differs = self.book.alone(&packet.digests);
+        let differs = self.book.lacks(&packet.digests);
         let behind = packet.epoch + 2 < self.epoch;
-        if (behind || differs.contains(&true)) && now - self.peers[from].answered_at >= ANSWER_MS {
+        if (packet.asks || behind || differs.contains(&true))
+            && now - self.peers[from].answered_at >= ANSWER_MS
+        {
             let due = self.owed.iter().all(|(of, _)| *of != from) && self.owed.len() < MOST_OWED;
             if due {
                 self.owed.push((from, differs));
@@ -306,7 +336,7 @@
         if learned != Learned::Mark {
             // One that was given up unheard may be known to others in this very life: they are told that it is doubted.
             let doubts = unheard && peer.gave_up;
-            peer.gave_up = doubts;
+            (peer.gave_up, peer.verdict) = (doubts, None);
             if learned == Learned::Start {
                 self.start_learned = now;
                 (peer.epoch, peer.loosely, peer.late) = (None, None, 0.0);
@@ -317,7 +347,7 @@
         }
         match (self.book.life(of).mark, learned) {
             (Mark::Left, _) => self.change(of, State::Left, now, "it has said that it ends".to_owned()),
-            (Mark::Gone, _) => self.gone(of, now, "given up by so many that it has no majority".to_owned()),
+            (Mark::Gone, _) => {} // Told at the next turn, when all that waits has been read: it may be back since.
             (_, Learned::Start) if !unheard => {
                 self.peers[of].heard_at = now;
                 self.change(of, State::Alive, now, "it has started anew".to_owned());
@@ -375,9 +405,10 @@
         if peer.loosely.is_some_and(|known| epoch <= known) {
             return true;
         }
+        let late = self.own.entered_at(epoch).map_or(0.0, |at| now - at).min(self.set.suspect_ms());
+        self.late += (late - self.late) * LATE_PART / self.set.routers() as f64;
         peer.loosely = Some(epoch);
         peer.heard_at = now;
-        let late = self.own.entered_at(epoch).map_or(0.0, |at| now - at).min(self.set.suspect_ms());
         peer.late += LATE_PART * (late - peer.late);
         let back =
             matches!(peer.state, State::Suspect | State::Joining) && self.book.life(of).mark < Mark::Gone;
@@ -388,6 +419,20 @@
         true
     }
 
+    /// Whether words of an epoch come so much later than most that they are let pass by: of one that has died since they would
+    /// say nothing, but begin its silence anew, at each router at another time.
+    fn stale(&self, epoch: u32, now: Millis) -> bool {
+        let usual = 2.0 * (self.late - self.set.period_ms).max(0.0);
+        self.own.entered_at(epoch).is_some_and(|at| now - at > usual + STALE * self.set.period_ms)
+    }
+
+    /// Whether one is to be given up within so many periods, if there are no news of it.
+    fn soon(&self, of: usize, periods: f64, now: Millis) -> bool {
+        let peer = &self.peers[of];
+        peer.state == State::Suspect
+            && now - peer.heard_at >= self.set.refuse_ms() - periods * self.set.period_ms
+    }
+
     /// For how long one has been missed: since this router entered the epoch after the last that it is known to have been in.
     fn overdue(&self, of: usize, now: Millis) -> Millis {
         let peer = &self.peers[of];
@@ -417,20 +462,18 @@
         self.effects.push(Effect::Changed { name, start: life.start, term: life.term, states, why });
     }
 
-    fn gone(&mut self, of: usize, now: Millis, why: String) {
-        if self.peers[of].state != State::Gone {
-            self.change(of, State::Gone, now, why);
-        }
-    }
-
     /// A roll that is new here, or has new names: signed if it may be, and what follows from it.
     fn review(&mut self, key: Key, now: Millis) {
         let Some(roll) = self.calls.get(&key) else { return };
         if !roll.signed.contains(self.me) {
-            let peers = &self.peers;
-            if call::may_sign(&key, roll, &self.book, |of| peers[of].gave_up) {
-                self.hear_roll(key, now);
-                self.calls.sign(&key, self.me);
+            let mut gave_up = FixedBitSet::with_capacity(self.peers.len());
+            (0..self.peers.len()).filter(|of| self.peers[*of].gave_up).for_each(|of| gave_up.insert(of));
+            // Whom it is about to give up it waits for.
+            let soon = |of: usize| !gave_up.contains(of) && self.soon(of, f64::from(WAITS), now);
+            let waits = self.epoch < key.1 + WAITS && roll.set.ones().any(soon);
+            if let Some(without) = call::may_sign(&key, roll, &self.book, &gave_up, waits) {
+                self.hear_roll(key, &without, now);
+                self.calls.sign(&key, self.me, &without);
             }
         }
         match key.0 {
@@ -446,12 +489,12 @@
 
     /// Whoever signs that these were in an epoch knows it from now on, if it did not before: so its silence of each began after
     /// that one had entered the epoch.
-    fn hear_roll(&mut self, key: Key, now: Millis) {
+    fn hear_roll(&mut self, key: Key, without: &FixedBitSet, now: Millis) {
         if key.0 == Kind::Heard {
             let Some(roll) = self.calls.get(&key) else { return };
             let since = roll.since;
-            let these: Vec<usize> = roll.set.ones().filter(|of| *of != self.me).collect();
-            for of in these {
+            let these = roll.set.ones().filter(|of| *of != self.me && !without.contains(*of));
+            for of in these.collect::<Vec<usize>>() {
                 self.hear(of, since, true, now);
             }
         }
@@ -465,10 +508,13 @@
     /// Whether a majority has heard this router, by that roll.
     fn certify(&mut self, key: Key, now: Millis) {
         let Some(roll) = self.calls.get(&key) else { return };
-        if !roll.set.contains(self.me) || roll.signed.count_ones(..) < self.set.majority() {
+        if !roll.set.contains(self.me)
+            || roll.without.contains(self.me)
+            || roll.signed.count_ones(..) < self.set.majority()
+        {
             return;
         }
-        if roll.digest != self.book.digest(&roll.set, Kind::Heard) {
+        if roll.digest != self.book.digest(&roll.set) {
             return;
         }
         let names = roll.signed.ones().filter(self.counted(self.own.begun())).count();
@@ -481,12 +527,16 @@
     fn verdict(&mut self, key: Key, now: Millis) {
         let Some(roll) = self.calls.get(&key) else { return };
         let names = roll.signed.count_ones(..);
-        if names < self.set.blocking() || roll.digest != self.book.digest(&roll.set, Kind::GivenUp) {
+        if names < self.set.blocking() || roll.digest != self.book.digest(&roll.set) {
             return;
         }
         // Of one that was never heard there is no life to bind: this router must have missed it for as long itself.
-        let binds = |of: &usize| self.book.life(*of).start > 0 || self.peers[*of].gave_up;
-        let these: Vec<usize> = roll.set.ones().filter(|of| *of != self.me).filter(binds).collect();
+        let binds = |of: &usize| {
+            let life = self.book.life(*of);
+            life.term == roll.terms.term(*of) && (life.start > 0 || self.peers[*of].gave_up)
+        };
+        let these = roll.set.difference(&roll.without).filter(|of| *of != self.me).filter(binds);
+        let these: Vec<usize> = these.collect();
         let all = self.set.routers();
         for of in these {
             let life = self.book.life(of);
@@ -495,11 +545,9 @@
                     self.book.mark(of, Mark::Gone, now);
                 }
                 let silent = now - self.peers[of].heard_at;
-                self.gone(
-                    of,
-                    now,
-                    format!("{names} of {all} have given it up, {silent:.0} ms after the last word here"),
-                );
+                self.peers[of].verdict = Some(format!(
+                    "{names} of {all} have given it up, {silent:.0} ms after the last word here"
+                ));
             }
         }
     }
@@ -552,14 +600,20 @@
                 self.judge(of, now);
             }
             self.review_all(Kind::GivenUp, now);
+            let may = self.own.holds(now) && self.allowance.left() > KEPT_BACK;
+            if std::mem::take(&mut self.asks) && may && now - self.asked_at >= 2.0 * ANSWER_MS {
+                self.asked_at = now;
+                self.ask(now);
+            }
             self.renew(now);
         }
         if self.hub_at.is_some_and(|at| now >= at) {
             self.hub_at = None;
             for of in self.roles.clerks.clone() {
-                self.send(of, None);
+                self.send(of, now, None);
             }
         }
+        self.send_later(now);
         if now >= self.ends_at {
             self.call(now);
             self.enter(self.epoch + 1, now);
@@ -569,15 +623,21 @@
 
     /// Whether another one is silent, and whether it is given up.
     fn judge(&mut self, of: usize, now: Millis) {
-        let peer = &self.peers[of];
-        if matches!(peer.state, State::Gone | State::Left) || !self.patience.judges(now) {
+        if matches!(self.peers[of].state, State::Gone | State::Left) || !self.patience.judges(now) {
             return;
         }
-        let overdue = self.overdue(of, now);
-        if overdue < self.limit(of) {
+        let verdict = self.peers[of].verdict.take();
+        if verdict.is_some() || self.book.life(of).mark == Mark::Gone {
+            let others = || "others say that so many have given it up that it has no majority".to_owned();
+            self.change(of, State::Gone, now, verdict.unwrap_or_else(others));
             return;
         }
-        if peer.state != State::Suspect {
+        let (overdue, limit) = (self.overdue(of, now), self.limit(of));
+        if overdue < limit {
+            self.asks |= overdue > ASK_PART * limit && self.peers[of].state == State::Alive;
+            return;
+        }
+        if self.peers[of].state != State::Suspect {
             let unheard = self.book.life(of).start == 0;
             let why = if unheard {
                 "never heard since this router's start".to_owned()
@@ -622,7 +682,10 @@
         let mut heard: Vec<Option<u32>> = self.peers.iter().map(|peer| peer.epoch).collect();
         heard[self.me] = Some(self.epoch);
         // What not all can know yet is left out, or few could sign: where that leaves no majority all are young.
-        let young = |of: usize| of != self.me && now - self.book.start_at(of) < YOUNG * self.set.period_ms;
+        let age = |of: usize| if of == self.me { f64::INFINITY } else { now - self.book.start_at(of) };
+        let (few_ms, all) = (YOUNG * self.set.period_ms, self.peers.len());
+        let many = (0..all).filter(|of| age(*of) < few_ms).count() as f64 / all as f64;
+        let young = |of: usize| age(of) < few_ms * (1.0 + MANY_YOUNG * many);
         let old = (0..self.peers.len()).filter(|of| !young(*of)).count();
         let without = |of: usize| self.peers[of].gave_up || old >= self.set.majority() && young(of);
         // Where words are slow an earlier epoch has more of them: the latest that lacks few.
@@ -634,21 +697,18 @@
             })
             .collect();
         let most = sets.iter().map(|set| set.count_ones(..)).max().unwrap_or(0);
-        let enough = most - most / 32;
+        let enough = most - most / LACKS;
         let ago = sets.iter().position(|set| set.count_ones(..) >= enough).unwrap_or(0);
         let epoch = self.epoch.saturating_sub(ago as u32);
         let set = sets.into_iter().nth(ago).filter(|set| set.count_ones(..) >= self.set.majority());
+        let set = set.filter(|_| self.calls.due(self.epoch, self.set.majority()));
         if let Some(set) = set {
             self.calls.call(Kind::Heard, [self.epoch, epoch], self.me, set, &self.book);
         }
-        // Whom all agree to have given up must not wait for those on whom they differ: every other roll has half of them.
+        // Whoever is given up soon is called with those who have been, so that one roll has all that died together.
         let mut given_up = FixedBitSet::with_capacity(self.peers.len());
-        let half = self.epoch.is_multiple_of(8);
-        for of in 0..self.peers.len() {
-            let counts = !half || call::rank(self.epoch, of).is_multiple_of(2);
-            let soon = self.peers[of].state == State::Suspect
-                && now - self.peers[of].heard_at >= self.set.refuse_ms() - SOON * self.set.period_ms;
-            if counts && (soon || self.peers[of].gave_up) && self.peers[of].state != State::Gone {
+        for (of, peer) in self.peers.iter().enumerate() {
+            if (self.soon(of, SOON, now) || peer.gave_up) && peer.state != State::Gone {
                 given_up.insert(of);
             }
         }
@@ -679,15 +739,41 @@
         self.review_all(Kind::GivenUp, now);
         self.review_all(Kind::Heard, now);
         self.settle(now);
-        let on = pace::ON + usize::from(self.allowance.left() > 2 * KEPT_BACK);
-        for _ in 0..on {
+        // First those who gather, then whoever has not heard of the epoch yet, as far as a hub has enough left for the clerks.
+        let up = self.roles.up(me, epoch);
+        if let Some(of) = up.first() {
+            self.send(*of, now, None);
+        }
+        let kept = if self.hub_at.is_some() { pace::CLERKS } else { 0 };
+        for _ in 0..pace::ON.min(self.allowance.left().saturating_sub(kept)) {
             if let Some(of) = self.anybody() {
-                self.send(of, None);
+                self.send(of, now, None);
+            }
+        }
+        // What comes meanwhile goes on with these, so that it need not wait for the next epoch.
+        let later = pace::LATER.map(|part| now + part * period);
+        self.later = [(later[0], up.get(1).copied()), (later[1], None)].into();
+    }
+
+    /// The datagrams that leave within an epoch.
+    fn send_later(&mut self, now: Millis) {
+        while let Some((_, to)) = self.later.front().filter(|(at, _)| now >= *at).copied() {
+            self.later.pop_front();
+            let spare = to.is_some() || self.owed.is_empty() && self.allowance.left() > KEPT_BACK;
+            let to = if spare { to.or_else(|| self.anybody()) } else { None };
+            if let Some(of) = to {
+                self.send(of, now, None);
             }
         }
-        for of in self.roles.up(me, epoch) {
-            self.send(of, None);
+    }
+
+    /// Asks somebody for what it knows.
+    fn ask(&mut self, now: Millis) {
+        self.asks = true;
+        if let Some(of) = self.anybody() {
+            self.send(of, now, None);
         }
+        self.asks = false;
     }
 
     /// Some other router, mostly one that is there.
@@ -705,11 +791,11 @@
         while self.allowance.left() > KEPT_BACK {
             let Some((of, wants)) = self.owed.pop() else { return };
             self.peers[of].answered_at = now;
-            self.send(of, Some(&wants));
+            self.send(of, now, Some(&wants));
         }
     }
 
-    fn send(&mut self, of: usize, wants: Option<&[bool]>) {
+    fn send(&mut self, of: usize, now: Millis, wants: Option<&[bool]>) {
         if of == self.me || self.allowance.left() == 0 {
             return;
         }
@@ -726,16 +812,26 @@
             from: self.me as u16,
             to: of as u16,
             epoch: self.epoch,
+            asks: self.asks,
             lags: Lags::of(&steps),
             digests: self.book.digests(),
             rolls: Vec::new(),
             own: self.book.life(self.me),
             lives: Lives::default(),
         };
-        let lives = if wants.is_some() { LIVES } else { self.book.to_tell(LIVES) };
-        let room = wire::room(&packet, USUAL).saturating_sub(lives);
+        // One that never stood learns and tells whom there are before all else.
+        let joining = self.own.says(now) == Says::Joining;
+        let most = if joining || wants.is_some() { FULL } else { USUAL };
+        let lives = if joining {
+            2 * LIVES
+        } else if wants.is_some() {
+            LIVES
+        } else {
+            self.book.to_tell(LIVES)
+        };
+        let room = wire::room(&packet, most).saturating_sub(lives);
         packet.rolls = self.calls.tell([self.set.majority(), self.set.blocking()], self.turns, room);
-        let room = wire::room(&packet, if wants.is_some() { FULL } else { USUAL });
+        let room = wire::room(&packet, most);
         let draw = self.draw() as usize;
         let mut lives = self.book.entries(room, wants, draw);
         packet.lives = Lives::of(packet.own, lives.clone());
@@ -759,7 +855,7 @@
         self.allowance.raise(tells);
         for _ in 0..tells {
             if let Some(of) = self.anybody() {
-                self.send(of, None);
+                self.send(of, now, None);
             }
         }
     }
--- a/src/fleet/rolls/pace.rs
+++ b/src/fleet/rolls/pace.rs
@@ -15,6 +15,8 @@
 pub const UP: usize = 2;
 /// See [`UP`].
 pub const ON: usize = 3;
+/// Parts of a period after which the second of those is told, and somebody by chance.
+pub const LATER: [f64; 2] = [0.25, 0.7];
 /// Part of a period after which a hub tells the clerks what it has gathered.
 const GATHERED: f64 = 0.45;
 /// Parts of a period by which each further clerk waits longer, and by which, at least, everybody else does.
--- a/src/fleet/rolls/wire.rs
+++ b/src/fleet/rolls/wire.rs
@@ -1,5 +1,6 @@
 //! What routers of a large fleet send each other: one kind of datagram, whoever sends it to whom and when.
 
+use super::call::Terms;
 use super::set::{Form, Lags};
 use crate::fleet::wire::{open, seal, Refused, HEAD, MAX_DATAGRAM, ROLLS};
 use serde::{Deserialize, Serialize};
@@ -92,10 +93,14 @@
     pub since: u32,
     /// Who has called it, by place.
     pub by: u16,
-    /// Of the lives of all in it.
+    /// Of the starts of all in it.
     pub digest: u64,
+    /// The terms that are given up.
+    pub terms: Terms,
     /// Who is in it.
     pub set: Form,
+    /// Of whom some that signed could not say it.
+    pub without: Form,
     /// Who has signed it.
     pub signed: Form,
 }
@@ -111,6 +116,8 @@
     pub to: u16,
     /// The epoch that the sender is in.
     pub epoch: u32,
+    /// It asks for an answer: somebody is missed.
+    pub asks: bool,
     /// How long ago it has heard of each, in epochs.
     pub lags: Lags,
     /// Of the starts that it knows, four bytes a block of the roster, then of the rest of the lives, two bytes a block.
@@ -170,14 +177,16 @@
         let own = Life { start: 1_800_000_000_000, term: 3, mark: Mark::Here };
         let entry = |of: u16, start| Entry { of, life: Life { start, term: 2, mark: Mark::Doubted } };
         let entries = vec![entry(3, own.start + 5), entry(900, own.start - 700_000), entry(901, u64::MAX)];
-        let signed = Form::AllBut(vec![7]);
+        let (signed, without) = (Form::AllBut(vec![7]), Form::Only(vec![]));
         let roll = Told {
             kind: Kind::Heard,
             epoch: 9,
             since: 8,
             by: 1,
             digest: u64::MAX,
+            terms: Terms::default(),
             set: Form::Bits(vec![255; 125]),
+            without,
             signed,
         };
         let packet = Packet {
@@ -185,6 +194,7 @@
             from: 1,
             to: 2,
             epoch: 9,
+            asks: false,
             lags: Lags::Most(1, vec![(3, 2)]),
             digests: vec![0; 96],
             rolls: vec![roll],
