--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -57,8 +57,9 @@
 const STALE: f64 = 2.3;
 /// Epochs in which a router waits until it can say all that a roll of the given up says.
 const WAITS: u32 = 6;
-/// Part of the time to suspicion after which another one is asked.
+/// Part of the time to suspicion after which one is asked, and how many at once.
 const ASK_PART: f64 = 0.7;
+const ASKED: usize = 2;
 /// Time between two answers out of turn to one router, in ms.
 const ANSWER_MS: Millis = 150.0;
 /// Datagrams that are kept back from answers out of turn.
@@ -93,6 +94,8 @@
     late: Millis,
     direct_at: Option<Millis>,
     answered_at: Millis,
+    /// When others were first heard to say that its life is gone.
+    marked_at: Millis,
     /// Why it is gone, where that is new and not told yet.
     verdict: Option<String>,
     /// This router has given its life up, or the first one that it will hear of.
@@ -138,8 +141,9 @@
     draws: u64,
     turns: usize,
     leaves: bool,
-    /// Somebody is about to be suspected: others are asked for what they know, and when that was last done.
-    asks: bool,
+    /// Who is about to be suspected; whether what is sent now asks for an answer; and when that was last done.
+    asks: Vec<usize>,
+    asking: bool,
     asked_at: Millis,
     effects: Vec<Effect>,
     counts: Counts,
@@ -159,6 +163,7 @@
             late: 0.0,
             direct_at: None,
             answered_at: f64::NEG_INFINITY,
+            marked_at: now,
             verdict: None,
             gave_up: false,
             state: State::Joining,
@@ -197,7 +202,8 @@
             draws: 0,
             turns: 0,
             leaves: false,
-            asks: false,
+            asks: Vec::new(),
+            asking: false,
             asked_at: f64::NEG_INFINITY,
             effects: Vec::new(),
             counts: Counts::default(),
@@ -307,9 +313,7 @@
         // Whoever lags behind, or alone knows something else, is told what it doesn't know.
         let differs = self.book.lacks(&packet.digests);
         let behind = packet.epoch + 2 < self.epoch;
-        if (packet.asks || behind || differs.contains(&true))
-            && now - self.peers[from].answered_at >= ANSWER_MS
-        {
+        if (behind || differs.contains(&true)) && now - self.peers[from].answered_at >= ANSWER_MS {
             let due = self.owed.iter().all(|(of, _)| *of != from) && self.owed.len() < MOST_OWED;
             if due {
                 self.owed.push((from, differs));
@@ -319,6 +323,11 @@
             self.enter(packet.epoch, now);
         }
         self.settle(now);
+        // Who asks is answered at once, from the epoch that it is in.
+        if packet.asks && now - self.peers[from].answered_at >= ANSWER_MS {
+            self.peers[from].answered_at = now;
+            self.send(from, now, None);
+        }
         self.answer(now);
         Ok(())
     }
@@ -347,7 +356,8 @@
         }
         match (self.book.life(of).mark, learned) {
             (Mark::Left, _) => self.change(of, State::Left, now, "it has said that it ends".to_owned()),
-            (Mark::Gone, _) => {} // Told at the next turn, when all that waits has been read: it may be back since.
+            // Told at a later turn, when all that waits has been read: it may be back since.
+            (Mark::Gone, _) => self.peers[of].marked_at = now,
             (_, Learned::Start) if !unheard => {
                 self.peers[of].heard_at = now;
                 self.change(of, State::Alive, now, "it has started anew".to_owned());
@@ -600,11 +610,7 @@
                 self.judge(of, now);
             }
             self.review_all(Kind::GivenUp, now);
-            let may = self.own.holds(now) && self.allowance.left() > KEPT_BACK;
-            if std::mem::take(&mut self.asks) && may && now - self.asked_at >= 2.0 * ANSWER_MS {
-                self.asked_at = now;
-                self.ask(now);
-            }
+            self.ask(now);
             self.renew(now);
         }
         if self.hub_at.is_some_and(|at| now >= at) {
@@ -627,14 +633,19 @@
             return;
         }
         let verdict = self.peers[of].verdict.take();
-        if verdict.is_some() || self.book.life(of).mark == Mark::Gone {
+        let hearsay = self.book.life(of).mark == Mark::Gone
+            && (self.overdue(of, now) >= self.limit(of)
+                || now - self.peers[of].marked_at >= self.set.suspect_ms());
+        if verdict.is_some() || hearsay {
             let others = || "others say that so many have given it up that it has no majority".to_owned();
             self.change(of, State::Gone, now, verdict.unwrap_or_else(others));
             return;
         }
         let (overdue, limit) = (self.overdue(of, now), self.limit(of));
         if overdue < limit {
-            self.asks |= overdue > ASK_PART * limit && self.peers[of].state == State::Alive;
+            if overdue > ASK_PART * limit && self.peers[of].state == State::Alive {
+                self.asks.push(of);
+            }
             return;
         }
         if self.peers[of].state != State::Suspect {
@@ -767,13 +778,19 @@
         }
     }
 
-    /// Asks somebody for what it knows.
+    /// Who is about to be suspected is asked whether it is there; where that are more, others are asked for what they know.
     fn ask(&mut self, now: Millis) {
-        self.asks = true;
-        if let Some(of) = self.anybody() {
+        let asks = std::mem::take(&mut self.asks);
+        if asks.is_empty() || now - self.asked_at < ANSWER_MS {
+            return;
+        }
+        self.asked_at = now;
+        let these = if asks.len() <= ASKED { asks } else { self.anybody().into_iter().collect() };
+        for of in these {
+            self.asking = true;
             self.send(of, now, None);
         }
-        self.asks = false;
+        self.asking = false;
     }
 
     /// Some other router, mostly one that is there.
@@ -812,7 +829,7 @@
             from: self.me as u16,
             to: of as u16,
             epoch: self.epoch,
-            asks: self.asks,
+            asks: self.asking,
             lags: Lags::of(&steps),
             digests: self.book.digests(),
             rolls: Vec::new(),
