--- a/crates/frostturn-lab/src/fleet/sim.rs
+++ b/crates/frostturn-lab/src/fleet/sim.rs
@@ -324,4 +324,16 @@
         }
         assert!(bad.is_empty(), "{} runs:\n{}", bad.len(), bad.join("\n"));
     }
+
+    /// What holds at every instant, and what it costs, where rolls are called; times at these sizes are `run fleet-sim`'s.
+    #[test]
+    fn drawn_faults_never_break_what_rolls_promise() {
+        let sizes = (0..6).map(|seed| (24, seed)).chain((0..3).map(|seed| (100, seed)));
+        for (routers, seed) in sizes {
+            let (figures, cost) = played(seed, routers);
+            let shown = (figures.knows_first, figures.false_gone);
+            assert_eq!(shown, (0, 0), "{routers}, seed {seed}: {:?}", figures.examples);
+            assert!(cost.datagrams_s <= 12.0 && cost.bytes_s <= 10_000.0, "{routers}, seed {seed}: {cost:?}");
+        }
+    }
 }
--- /dev/null
+++ b/crates/frostturn-lab/src/scenarios/fleet_cost.rs
@@ -0,0 +1,115 @@
+//! What a large fleet costs one real router: the daemon with 299 others, which are the daemon's own pure machines on sockets of
+//! this process, and beside it the daemon without a fleet, both without load.
+
+use super::Options;
+use crate::daemon::{Daemon, Start};
+use crate::fleet::audit::boot_ms;
+use crate::report::{Bound, Report};
+use crate::site::Site;
+use frostturn::fleet::{Effect, Fleet, PeerAt, Settings};
+use std::fmt::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::thread;
+use std::time::Duration;
+
+const ROUTERS: usize = 300;
+/// Time until all know each other, and the time that is measured, in ms.
+const FORMS_MS: f64 = 8000.0;
+const MEASURED_MS: f64 = 20_000.0;
+/// Memory of a router on the platform, in MB.
+const MEMORY_MB: f64 = 32.0;
+
+struct Peer {
+    fleet: Fleet,
+    socket: UdpSocket,
+}
+
+impl Peer {
+    fn play(&mut self, buffer: &mut [u8]) {
+        while let Ok(bytes) = self.socket.recv(buffer) {
+            let _ = self.fleet.heard(boot_ms(), &buffer[..bytes]); // What is refused is counted there.
+        }
+        if self.fleet.next_due() <= boot_ms() {
+            self.fleet.turn(boot_ms());
+        }
+        for effect in self.fleet.effects() {
+            if let Effect::Send { to, bytes } = effect {
+                let _ = self.socket.send_to(&bytes, to); // A full buffer loses it, as a net would.
+            }
+        }
+    }
+}
+
+/// The other routers, and the daemon's operator's file.
+fn others(listen: SocketAddr, seed: u64) -> Result<(Vec<Peer>, String), String> {
+    let io = |e: std::io::Error| format!("the others: {e}");
+    let sockets: Vec<UdpSocket> =
+        (1..ROUTERS).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>().map_err(io)?;
+    let mut at = vec![listen];
+    for socket in &sockets {
+        socket.set_nonblocking(true).map_err(io)?;
+        at.push(socket.local_addr().map_err(io)?);
+    }
+    let mut text = format!("(frostturn (fleet (name \"lab\") (listen \"{listen}\")\n");
+    for (one, address) in at.iter().enumerate().skip(1) {
+        let _ = writeln!(text, "  (peer \"n{one}\" \"{address}\")"); // A String takes all that is written to it.
+    }
+    let mut peers = Vec::new();
+    for (one, socket) in (1..).zip(sockets) {
+        let mut set = Settings::new("lab", at[one]);
+        let rest = at.iter().enumerate().filter(|(other, _)| *other != one);
+        set.peers = rest.map(|(other, at)| PeerAt { name: format!("n{other}"), address: *at }).collect();
+        let fleet = Fleet::new(set, &format!("n{one}"), 1_800_000_000_000, boot_ms(), seed + one as u64)?;
+        peers.push(Peer { fleet, socket });
+    }
+    Ok((peers, text + "))\n"))
+}
+
+/// Measures both.
+pub fn run(options: &Options) -> Result<Report, String> {
+    let io = |e: std::io::Error| format!("the operator's file: {e}");
+    let site = Site::start(2, false)?;
+    let listen = UdpSocket::bind("127.0.0.1:0").and_then(|held| held.local_addr()).map_err(io)?;
+    let (mut peers, text) = others(listen, options.seed)?;
+    let operator = site.dir.join("fleet.scm");
+    std::fs::write(&operator, text).map_err(io)?;
+    let start = |operator| {
+        Daemon::start(&Start {
+            dir: &site.dir,
+            program: options.daemon.as_deref(),
+            operator,
+            board: site.board.address,
+            known: site.board.known(),
+            seed: options.seed,
+            name: "n0",
+            instances: ROUTERS,
+            beside: None,
+        })
+    };
+    let (with, without) = (start(Some(operator.as_path()))?, start(None)?);
+    let mut buffer = vec![0; 2048];
+    let mut play = |until: f64| {
+        while boot_ms() < until {
+            peers.iter_mut().for_each(|peer| peer.play(&mut buffer));
+            thread::sleep(Duration::from_millis(1));
+        }
+    };
+    let began = boot_ms();
+    play(began + FORMS_MS);
+    let before = [with.used().0, without.used().0];
+    play(began + FORMS_MS + MEASURED_MS);
+    let after = [with.used(), without.used()];
+    let cpu = [0, 1].map(|at| (after[at].0 - before[at]) / (MEASURED_MS / 1e3));
+    let alive = peers[0].fleet.tally()[1].1;
+    let mb = after.map(|(_, kb)| kb as f64 / 1e3);
+    println!(
+        "  CPU, ms a second: {:.1} with the fleet, {:.1} without; memory at most, MB: {:.1} and {:.1}",
+        cpu[0], cpu[1], mb[0], mb[1]
+    );
+    let bounds = vec![
+        Bound::most("memory_mb", mb[0], MEMORY_MB),
+        // Without that the cost is of no fleet: one of the others sees all, the daemon too.
+        Bound::most("not_alive", (ROUTERS - 1 - alive) as f64, 0.0),
+    ];
+    Ok(Report { scenario: "fleet-cost", seed: options.seed, bounds, memory_mb: mb[0], ..Report::default() })
+}
--- a/crates/frostturn-lab/src/scenarios/mod.rs
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod addresses;
 pub mod fleet;
+pub mod fleet_cost;
 pub mod fleet_sim;
 pub mod photos;
 pub mod plugins;
@@ -42,7 +43,7 @@
 }
 
 /// All of them.
-pub const ALL: [Scenario; 7] = [
+pub const ALL: [Scenario; 8] = [
     Scenario { name: "up", about: "a small site, served for some seconds", run: up::run },
     Scenario {
         name: "addresses",
@@ -69,6 +70,11 @@
         about: "the same faults in simulated time, at several sizes, with a plot into --out",
         run: fleet_sim::run,
     },
+    Scenario {
+        name: "fleet-cost",
+        about: "what 299 other routers cost one, in CPU and memory",
+        run: fleet_cost::run,
+    },
     Scenario {
         name: "photos",
         about: "the worked plug-in for staff photos, against none, where boxes come back empty",
