Pass an epoch's beginning on by shifts of the roster, so that it comes to each from three

Cause: by chance targets one router in twenty heard of an epoch from nobody; three times in a row, some times in ten seconds at 300, and others suspected it for 0.1 s.

Change: pace::on, three shifts that differ in each epoch; who isn't there is replaced by chance.

--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -756,8 +756,10 @@
             self.send(*of, now, None);
         }
         let kept = if self.hub_at.is_some() { pace::CLERKS } else { 0 };
-        for _ in 0..pace::ON.min(self.allowance.left().saturating_sub(kept)) {
-            if let Some(of) = self.anybody() {
+        let count = pace::ON.min(self.allowance.left().saturating_sub(kept));
+        for to in pace::on(epoch, me, self.peers.len()).take(count) {
+            let there = to != me && self.peers[to].state == State::Alive;
+            if let Some(of) = if there { Some(to) } else { self.anybody() } {
                 self.send(of, now, None);
             }
         }
--- a/src/fleet/rolls/pace.rs
+++ b/src/fleet/rolls/pace.rs
@@ -34,6 +34,14 @@
     pub hubs: Vec<usize>,
 }
 
+/// Whom a router passes the word of an epoch's beginning on to: so far on in the roster as all others do, so that it comes to each
+/// from just as many; by chance one in twenty would hear it from nobody.
+pub fn on(epoch: u32, me: usize, routers: usize) -> impl Iterator<Item = usize> {
+    let by =
+        move |which: usize| 1 + rank(epoch, usize::from(u16::MAX) - which) as usize % (routers - 1).max(1);
+    (0..ON).map(move |which| (me + by(which)) % routers)
+}
+
 /// The roles in an epoch among those that `may` have one.
 pub fn roles(epoch: u32, routers: usize, may: impl Fn(usize) -> bool) -> Roles {
     let mut ranked: Vec<(u32, usize)> =
@@ -91,6 +99,9 @@
         assert!(!one.up(5, 7).contains(&5) && one.up(5, 7).iter().all(|of| one.hubs.contains(of)));
         assert!(one.ends(one.clerks[0], 500.0, 0.9) < one.ends(one.clerks[1], 500.0, 0.0));
         assert!(one.ends(one.clerks[2], 500.0, 0.9) < one.ends(0, 500.0, 0.0));
+        let mut heard = vec![0; 300];
+        (0..300).for_each(|me| on(7, me, 300).for_each(|of| heard[of] += 1));
+        assert!(heard.iter().all(|times| *times == ON) && on(7, 0, 1).all(|of| of == 0));
         assert_eq!(roles(7, 3, |_| true).hubs, Vec::<usize>::new());
         assert_eq!(roles(7, 3, |_| false), Roles::default());
     }
