--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -70,6 +70,8 @@
 const SPARE: f64 = 0.1;
 /// Who is to be given up within so many periods is called together with those who have been.
 const SOON: f64 = 2.0;
+/// Periods in which one that comes back hears of all that was while it was away.
+const CAUGHT_UP: f64 = 3.0;
 /// Periods in which a new start becomes known to nearly all.
 const YOUNG: f64 = 3.0;
 /// And by how much more if all routers were young, as a part of that.
@@ -123,7 +125,8 @@
     epoch: u32,
     /// How late news are, usually: as [`Peer::late`], of all.
     late: Millis,
-    /// When its last standstill ended.
+    /// When this router's standing last began, and when its last standstill ended.
+    stood_since: Millis,
     awake_since: Millis,
     /// When a start that was new here was last heard of.
     start_learned: Millis,
@@ -189,6 +192,7 @@
             patience: Patience::new(set.turn_ms(), set.period_ms, now),
             epoch: 0,
             late: 0.0,
+            stood_since: now,
             awake_since: now,
             start_learned: now,
             roles: Roles::default(),
@@ -569,6 +573,9 @@
         self.own.settle(now);
         let (says, term) = self.standing(now);
         if (says, term) != self.says {
+            if says == Says::Majority && self.says.0 != Says::Majority {
+                self.stood_since = now;
+            }
             self.says = (says, term);
             let ago_ms = if says == Says::CutOff { (now - until).max(0.0) } else { 0.0 };
             let heard_by = (self.heard_by(now), self.set.routers());
@@ -632,8 +639,12 @@
         if matches!(self.peers[of].state, State::Gone | State::Left) || !self.patience.judges(now) {
             return;
         }
-        let verdict = self.peers[of].verdict.take();
-        let hearsay = self.book.life(of).mark == Mark::Gone
+        // One that comes back, from a cut or a standstill, may hear of an end before it hears of the beginning that came after.
+        let back = self.awake_since.max(self.stood_since);
+        let tells = self.own.holds(now) && now - back >= CAUGHT_UP * self.set.period_ms;
+        let verdict = self.peers[of].verdict.take_if(|_| tells);
+        let hearsay = tells
+            && self.book.life(of).mark == Mark::Gone
             && (self.overdue(of, now) >= self.limit(of)
                 || now - self.peers[of].marked_at >= self.set.suspect_ms());
         if verdict.is_some() || hearsay {
