--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -71,6 +71,7 @@
 /// Who is to be given up within so many periods is called together with those who have been.
 const SOON: f64 = 2.0;
 /// Periods in which one that comes back hears of all that was while it was away.
+/// At most the least suspicion: nobody is given up sooner after a beginning.
 const CAUGHT_UP: f64 = 3.0;
 /// Periods in which a new start becomes known to nearly all.
 const YOUNG: f64 = 3.0;
@@ -641,7 +642,8 @@
         }
         // One that comes back, from a cut or a standstill, may hear of an end before it hears of the beginning that came after.
         let back = self.awake_since.max(self.stood_since);
-        let tells = self.own.holds(now) && now - back >= CAUGHT_UP * self.set.period_ms;
+        let caught_up_ms = (CAUGHT_UP * self.set.period_ms).min(self.set.suspicion_ms[0]);
+        let tells = self.own.holds(now) && now - back >= caught_up_ms;
         let verdict = self.peers[of].verdict.take_if(|_| tells);
         let hearsay = tells
             && self.book.life(of).mark == Mark::Gone
