Say in the head of rolls what keeps each part of the proof now

Cause: the lines named a digest of lives and a silence from the signature on, which names that leave out and the silence from the epoch on have replaced. Change: words only.

--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -11,13 +11,14 @@
 //! The sentences of [`super`] are kept here by:
 //!
 //! - *Who is called gone knew before that it was cut off.* (1) A router has its standing by a roll that a majority has signed,
-//!   for `lease_ms` from when it entered the roll's epoch ([`Own::signed`]). (2) Whoever signs a roll counts its silence of all
-//!   in it from then on (`Rolls::hear_roll`), and gives a life up after at least `refuse_ms` of it (`Rolls::judge`);
-//!   never again does it sign a roll with that life ([`call::may_sign`], whose digest binds the lives). (3) A life is called gone
-//!   when so many have signed that they gave it up that the rest is no majority (`Rolls::verdict`), or when somebody tells that
-//!   ([`Mark::Gone`]). (4) `lease_ms` is shorter than `refuse_ms` by more than clocks differ: every majority of (1) has one of
-//!   (3), who signed before its silence began, so that the lease is over when it gives up. (5) A start without memory may have
-//!   given lives up before: who was in a term before it knew of that start does not count that start's name (`Rolls::counted`).
+//!   for `lease_ms` from when it entered the roll's epoch ([`Own::signed`]). (2) Whoever signs a roll has heard that all in it
+//!   were in that epoch, so its silence of each began later (`Rolls::hear_roll`); it gives a life up after at least `refuse_ms`
+//!   of it (`Rolls::judge`), and never again vouches for that life ([`call::may_sign`]; whom a name leaves out travels with
+//!   it). (3) A life is called gone when so many have signed that they gave it up that the rest is no majority
+//!   (`Rolls::verdict`), or when somebody tells that ([`Mark::Gone`]). (4) `lease_ms` is shorter than `refuse_ms` by more than
+//!   clocks differ: every majority of (1) has one of (3), who signed before its silence began, so that the lease is over when
+//!   it gives up. (5) A start without memory may have given lives up before: who was in a term before it knew of that start
+//!   does not count that start's name (`Rolls::counted`).
 //! - *No word about or from an earlier start counts*: starts only grow ([`Book::learn`]), and which epoch was heard of is taken
 //!   over only where both know the same starts ([`Book::compare`]).
 //! - *A term that has ended never comes back* ([`Own::settle`]).
