Learn sizes that requests don't tell, so that cold machines' budgets bind

Change: an untold size is what the piece's last answer showed by its bytes (both flow figures of the config are of the same transfer), else its class's mean; where bytes aren't counted, as in the simulator, a hit's time stands. Before any word the class's aim does.

The two new tests of tests/size.rs fail with sizes taken for 0.

--- a/src/api.rs
+++ b/src/api.rs
@@ -481,6 +481,8 @@
     pub source_wait_ms: Option<Millis>,
     /// A load report that came along.
     pub report: LoadReport,
+    /// What its bytes amount to, in KB as sizes are told; `None`: it brought none, or they aren't counted.
+    pub size_kb: Option<f64>,
 }
 
 /// What a router is told.
--- a/src/bin/frostturn-simhost/wire.rs
+++ b/src/bin/frostturn-simhost/wire.rs
@@ -150,6 +150,7 @@
             note: note(fields.whole_or_zero("Note")?),
             source_wait_ms: fields.number_or_none("SourceWaitMs")?,
             report: report(fields.optional())?,
+            size_kb: None, // Bytes aren't counted there.
         }),
         "FIRST" => {
             Event::Started { id: fields.required("Xid")?.into(), attempt: fields.whole("Go")? as usize }
--- a/src/config.rs
+++ b/src/config.rs
@@ -30,6 +30,8 @@
     pub memory: usize,
     /// File descriptors that it may hold.
     pub sockets: usize,
+    /// Bytes a second that one transfer to a client brings at most; `None`: not told.
+    pub flow_bytes_per_s: Option<f64>,
 }
 
 /// All that a router is told at its start.
@@ -128,6 +130,10 @@
                 max_open: or("Limits.MaxOpen", 4096.0)? as usize,
                 memory: (limit("memory_mb", 192.0) * 1e6) as usize,
                 sockets: limit("sockets", 1024.0) as usize,
+                flow_bytes_per_s: value
+                    .get("flow_bytes_per_s")
+                    .and_then(|flow| flow.cast_f64())
+                    .filter(|flow| *flow > 0.0 && flow.is_finite()),
             },
             settings,
         })
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,4 @@
 //! The decisions of a router. The types of its interface are in `src/api.rs`.
-//!
 //! An object has a home edge cache; a least-squares line over its recent rate opens a mode in which its
 //! requests spread to ready peers, until the rate falls below its normal average. All else is a
 //! departure for when that path is blocked; `docs/design.md` lists them. Equal events, equal actions.
@@ -11,17 +10,13 @@
 
 /// Seconds ahead that the forecast looks (the paper's tau): about the time in which a peer fills.
 const TAU_S: usize = 3;
-/// Seconds of the forecast's window: two tau, as in the paper.
-const WINDOW_S: usize = 2 * TAU_S;
-/// Peers an object spreads to: the next two of its order, as the design page says.
-const PEERS: usize = 2;
-/// Weight of a new second in an object's normal average: it follows over some windows.
-const NORMAL_GAIN: f64 = 0.1;
+const WINDOW_S: usize = 2 * TAU_S; // Seconds of the forecast's window: two tau, as in the paper.
+const PEERS: usize = 2; // Peers an object spreads to: the next two of its order, as the design page says.
+const NORMAL_GAIN: f64 = 0.1; // Weight of a new second in an object's normal average.
 /// Seconds after which an unasked object is forgotten; beyond the most, new ones aren't counted until then.
 const FORGET_S: i64 = 30;
 const MAX_OBJECTS: usize = 25_000;
-/// When a machine that has left gives up its place in the table.
-const LEFT_MS: Millis = 60_000.0;
+const LEFT_MS: Millis = 60_000.0; // When a machine that has left gives up its place in the table.
 
 /// The forecast's step, and the time between looks at slow attempts: well under a client's patience.
 const SECOND_MS: Millis = 1000.0;
@@ -29,53 +24,42 @@
 /// Share of failures that ejects: half the answers cost a further attempt. Three in a row make it, not two.
 const EJECT_SHARE: f64 = 0.5;
 const HEALTH_GAIN: f64 = 0.22;
-/// Requests turned away in a row from which that counts as failing.
-const TURNED: u32 = 5;
+const TURNED: u32 = 5; // Requests turned away in a row from which that counts as failing.
 /// First wait before an ejected machine gets a single trial; doubled by each failed one up to the last.
 const EJECT_MS: Millis = 1000.0;
 const EJECT_MAX_MS: Millis = 8000.0;
-/// Time to first byte assumed before any was seen: a round trip and a disk.
-const TTFB_START_MS: Millis = 100.0;
-/// How long a measurement counts as recent.
-const RECENT_MS: Millis = 10_000.0;
-/// Weight of a new measurement in smoothed times.
-const GAIN: f64 = 0.2;
-/// An attempt gets at least this multiple of what it is expected to take.
-const PATIENCE: f64 = 1.5;
+const TTFB_START_MS: Millis = 100.0; // Time to first byte before any was seen: a round trip and a disk.
+const RECENT_MS: Millis = 10_000.0; // How long a measurement counts.
+const GAIN: f64 = 0.2; // Weight of a new measurement in smoothed times.
+const PATIENCE: f64 = 1.5; // An attempt gets at least this multiple of what it is expected to take.
 /// Usual gaps between a machine's answers here after which it is silent: by chance that is one in 400.
 const SILENT_GAPS: f64 = 6.0;
 /// The gap assumed at first, long: a transfer called off in error costs more than a late find.
 const GAP_START_MS: Millis = 2000.0;
-/// Shares of first-seen and of seen pieces taken to need a fill before any answer has told.
-const MISS_START: [f64; 2] = [0.9, 0.2];
-/// The location's link is full for a piece of mean size when fills are slowed to this multiple.
-const LINK_FULL: f64 = 1.5;
+const MISS_START: [f64; 2] = [0.9, 0.2]; // Shares of first-seen and seen pieces that need a fill, at first.
+const LINK_FULL: f64 = 1.5; // The location's link is full when a mean fill is slowed to this multiple.
 /// Share of fills that fail above which old copies beat the wait for one, and above which fills are dear.
 const DOUBT: f64 = 0.3;
 const SOME_FAIL: f64 = 0.08;
 /// The origin's wait, as a part of what a request's aim leaves for it, from which some aren't sent there.
 const ORIGIN_SLOW: f64 = 0.6;
-/// A machine that sends this many times slower than its best fellow is passed by: more than crowding.
-const LIMPS: f64 = 4.0;
-/// Requests go past a cache that holds this multiple of the transfers that fit at full pace.
-const CROWDED: f64 = 1.3;
+const LIMPS: f64 = 4.0; // So much slower than its best fellow, a machine is passed by: more than crowding.
+const CROWDED: f64 = 1.3; // Requests go past a cache that holds this multiple of what fits at full pace.
 /// Square roots of a router's part of a link that it may hold more by chance: a few do come together.
 const CHANCE_ROOM: f64 = 2.0;
 /// Transfers beyond its part before a home is passed by; twice that while some fills fail, as it costs one.
 const BY_CHANCE: f64 = 2.0;
 /// Share of busy cores reported above which a few transfers that come together aren't put down to chance.
 const BUSY: f64 = 0.95;
-/// What machines have borne fades by this a second: a location may come back cold.
-const BEARS_FADE: f64 = 0.99;
+const BEARS_FADE: f64 = 0.99; // What machines have borne fades by this a second: they may come back cold.
 /// Part of the cold-start budget that is spent: the estimate of capacity and chance need the rest.
 const COLD_SPEND: f64 = 0.6;
-/// How much younger than a purge a copy must be: clocks and rounding.
-const PURGE_SLACK_MS: Millis = 2.0;
+const PURGE_SLACK_MS: Millis = 2.0; // How much younger than a purge a copy must be: clocks and rounding.
 /// Second copies that a request earns, and the most saved up: where more is slow, it is load.
 const COPIES: [f64; 2] = [0.02, 10.0];
+const WORK_GAIN: f64 = 0.02; // Weight of one request in its class's mean sending time.
 
-/// What the design page calls an object: what a cache keeps one copy of. With one home for all its pieces, a
-/// popular object would fill that cache's link.
+/// The design page's object: what a cache keeps one copy of. One home for all its pieces would fill its link.
 type Piece = (ObjectId, u64);
 /// A machine's place in the table.
 type NodeAt = usize;
@@ -193,6 +177,8 @@
 struct Object {
     counts: Counts,
     mode: Option<Mode>,
+    /// Its sending time, as an answer showed it.
+    shown: Option<Millis>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -235,7 +221,8 @@
     requests: BTreeMap<RequestId, Pending>,
     ticked: i64,
     purged: HashMap<(u64, Option<ObjectId>), Millis>,
-    class_work: Vec<f64>,
+    /// Each class's mean sending time, and whether one was told or shown: until then its aim stands.
+    class_work: Vec<(Millis, bool)>,
     /// Sending time served in this second by each role's machines, and what one bore at best.
     served: [Millis; 4],
     bears: [f64; 4],
@@ -255,7 +242,7 @@
     /// A router at its start. `seed` feeds its random choices; `now` is the caller's clock.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
         Self {
-            class_work: vec![0.0; settings.classes.len()],
+            class_work: settings.classes.iter().map(|class| (class.aim_ms, false)).collect(),
             place: settings.zones.iter().position(|zone| Some(zone) == settings.zone.as_ref()),
             settings,
             seed,
@@ -275,9 +262,8 @@
         self.nodes.iter().filter(|node| node.listed && node.health.ejected_until.is_some()).count()
     }
 
-    /// Takes one event in and appends what is to be done, in order.
-    ///
-    /// What is unknown is ignored, but for a request: one that nothing can serve is answered at once.
+    /// Takes one event in and appends what is to be done, in order. What is unknown is ignored; a
+    /// request that nothing can serve is answered at once.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         let ask = self.settings.discovery == Discovery::Ask;
         if !std::mem::replace(&mut self.ticking, true) {
@@ -324,9 +310,7 @@
                 self.chill(now, at);
             }
         }
-        for node in &mut self.nodes {
-            node.left = if node.listed { None } else { node.left.or(Some(now)) };
-        }
+        self.nodes.iter_mut().for_each(|node| node.left = node.left.or(Some(now)).filter(|_| !node.listed));
         self.usual = [Role::Edge, Role::Parent, Role::Origin, Role::Away].map(|role| {
             let fits = |at: &NodeAt| self.nodes[*at].listed && self.nodes[*at].role == role;
             (0..self.nodes.len()).filter(fits).collect()
@@ -369,10 +353,9 @@
         at
     }
 
-    /// A machine has started: no ready peer, and on a budget. It begins with a debt, another for each router,
-    /// so that their first requests don't come together.
+    /// A machine has started: on a budget. A debt first, another for each router, has them come apart.
     fn chill(&mut self, now: Millis, at: NodeAt) {
-        let most = self.class_work.iter().copied().fold(0.0, f64::max);
+        let most = self.most_work();
         let phase = XxHash64::oneshot(self.seed, &self.nodes[at].hash.to_le_bytes()) as f64 / u64::MAX as f64;
         self.nodes[at].budget = (-phase * most, now);
         self.unready(at);
@@ -405,7 +388,7 @@
         self.all.current += 1;
         let h = self.threshold();
         let counts = Counts { second, ..Counts::default() };
-        let object = self.objects.entry(key.clone()).or_insert(Object { counts, mode: None });
+        let object = self.objects.entry(key.clone()).or_insert(Object { counts, mode: None, shown: None });
         object.counts.roll(second, object.mode.is_some());
         object.counts.current += 1;
         if object.mode.is_none() && h.is_some_and(|h| object.counts.will_cross(h)) {
@@ -454,16 +437,48 @@
         }
         let seen = self.demand(now, &asked, actions);
         self.copies = (self.copies + COPIES[0]).min(COPIES[1]);
-        if let Some(mean) = self.class_work.get_mut(asked.class) {
-            let own = sending_ms(&self.settings, &asked);
-            *mean += if *mean == 0.0 { own } else { 0.02 * (own - *mean) };
-        }
+        let told = asked.size_kb.and_then(|kb| self.at_pace(kb));
+        told.into_iter().for_each(|own| self.heard(asked.class, own));
         let (deadline, attempts) = (now + asked.budget_ms.max(0.0), Vec::new());
         let pending = Pending { asked, seen, arrived: now, deadline, attempts, copied: false, done: false };
         self.requests.insert(id.clone(), pending);
         self.dispatch(now, &id, actions);
     }
 
+    /// Learns what a class's mean sending time is from that of one request.
+    fn heard(&mut self, class: usize, own: Millis) {
+        let Some((mean, heard)) = self.class_work.get_mut(class) else { return };
+        *mean += if std::mem::replace(heard, true) { WORK_GAIN * (own - *mean) } else { own - *mean };
+    }
+
+    /// The longest mean sending time of a class that was heard of.
+    fn most_work(&self) -> Millis {
+        self.class_work.iter().filter(|(_, heard)| *heard).map(|(mean, _)| *mean).fold(0.0, f64::max)
+    }
+
+    /// Learns an untold size from an answer: by its bytes where they are counted, else by a hit's time.
+    fn shown(&mut self, class: usize, key: Option<&Piece>, result: &AttemptResult) {
+        let counted = result.size_kb.and_then(|kb| self.at_pace(kb));
+        let hit = result.note.is_none_or(|note| note == Note::Hit);
+        let took = Some((result.waited_ms - TTFB_START_MS / 5.0).max(0.0)).filter(|_| hit);
+        counted.or(took).into_iter().for_each(|own| self.heard(class, own));
+        let object = key.and_then(|key| self.objects.get_mut(key));
+        object.into_iter().for_each(|object| object.shown = counted.or(object.shown));
+    }
+
+    /// The time that so much takes at full pace; `None`: the pace isn't told.
+    fn at_pace(&self, kb: f64) -> Option<Millis> {
+        self.settings.flow_kb_per_s.map(|pace| 1000.0 * kb.max(0.0) / pace.max(1.0))
+    }
+
+    /// A request's own sending time at full pace: as told, as its piece's last answer showed it, or the mean
+    /// of its class. Never nothing for want of word: what costs nothing has no bound.
+    fn sending_ms(&self, asked: &ClientRequest) -> Millis {
+        let shown = || self.objects.get(&piece(asked)?)?.shown;
+        let mean = || self.class_work.get(asked.class).map_or(0.0, |(mean, _)| *mean);
+        asked.size_kb.and_then(|kb| self.at_pace(kb)).or_else(shown).unwrap_or_else(mean)
+    }
+
     /// Makes the next attempt of a request that has none out, or answers it finally.
     fn dispatch(&mut self, now: Millis, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id).filter(|pending| !pending.done) else { return };
@@ -479,7 +494,7 @@
         let Attempt { cache, source, fill, .. } = attempt;
         self.fills += fill;
         pending.attempts.push(attempt);
-        let work = self.class_work[pending.asked.class];
+        let (work, _) = self.class_work[pending.asked.class];
         if let Some(mode) = piece(&pending.asked).and_then(|key| self.objects.get_mut(&key)?.mode.as_mut()) {
             mode.turn += 1;
             if !mode.ready.contains(&cache) {
@@ -540,7 +555,7 @@
         let asked = &pending.asked;
         let class = self.settings.classes.get(asked.class)?;
         let (left, tries) = (pending.deadline - now, pending.attempts.len());
-        let own = sending_ms(&self.settings, asked);
+        let own = self.sending_ms(asked);
         let aim = (class.aim_ms + class.aim_stretch * own).min(class.deadline_ms);
         let aim_left = pending.arrived + aim - now;
         // Without a cache here that is usable and not too cold, where allowed, the parent pick serves.
@@ -581,12 +596,9 @@
         let again = tries + 1 < most && left - patience > expected;
         // Where nothing can be called off, a time-out must do for the check.
         let timeout_ms = if again && !self.settings.limits.cancelling { patience } else { left };
-        let keep = match () {
-            () if class.uncached || asked.object.is_none() => Keep::No,
-            () if self.mode(asked).is_some() => Keep::High,
-            () if pending.seen => Keep::Middle,
-            () => Keep::Low,
-        };
+        let rank = if pending.seen { Keep::Middle } else { Keep::Low };
+        let rank = if self.mode(asked).is_some() { Keep::High } else { rank };
+        let keep = if class.uncached || asked.object.is_none() { Keep::No } else { rank };
         let fetch = Fetch {
             id: asked.id.clone(),
             cache: self.nodes[cache].entry.cache.clone(),
@@ -619,8 +631,7 @@
         let link = self.place.and_then(|at| self.settings.zone_links_kb_per_s.get(at)).copied();
         let pace = self.settings.flow_kb_per_s.unwrap_or(0.0) * self.sharers(Role::Edge);
         let told = link.map(|kb| kb / pace).filter(|fits| *fits > 0.0 && fits.is_finite());
-        let mean = self.class_work.iter().copied().fold(0.0, f64::max);
-        let give = (mean / own.max(1.0)).sqrt().clamp(0.5, 2.0);
+        let give = (self.most_work() / own.max(1.0)).sqrt().clamp(0.5, 2.0);
         told.or(self.fills_fit).is_some_and(|fits| {
             self.fills + 1.0 > LINK_FULL * give * fits.max(0.1) + CHANCE_ROOM * fits.max(1.0).sqrt()
         })
@@ -702,8 +713,7 @@
         self.nodes[at].health.ejected_until.is_none_or(|until| now >= until) && !self.limps(now, at)
     }
 
-    /// Whether a machine sends far slower than another of its role (full pace is assumed where unheard): it
-    /// starts answers in time and looks alive, but its link fails.
+    /// Whether it sends far slower than another of its role (full pace, if unheard): its link fails.
     fn limps(&self, now: Millis, at: NodeAt) -> bool {
         let pace = |at: NodeAt| recent(self.nodes[at].learned.pace, now).map_or(1.0, |pace| pace.max(1.0));
         let best = self.listed(self.nodes[at].role).filter(|other| *other != at).map(pace).reduce(f64::min);
@@ -764,7 +774,7 @@
 
     /// Whether a copy may go out: its cache has done later ones, and its source's latest didn't take so long.
     fn lost(&self, now: Millis, pending: &Pending, Attempt { cache, source, sent, .. }: Attempt) -> bool {
-        let spare = now - sent - PATIENCE * sending_ms(&self.settings, &pending.asked);
+        let spare = now - sent - PATIENCE * self.sending_ms(&pending.asked);
         let class = self.settings.classes.get(pending.asked.class).map(|class| class.repeat);
         let Learned { ttfb, done, .. } = &self.nodes[source].learned;
         let quick = recent(*ttfb, now).is_none_or(|ms| ms < TTFB_START_MS) && self.crowd(now, cache) <= 1.0;
@@ -799,11 +809,9 @@
     /// Answers a request that nothing can help any more, at once: refused where a retry is harmless.
     fn give_up(&mut self, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id) else { return };
-        let class = self.settings.classes.get(pending.asked.class);
-        let harmless = match class.map(|class| class.repeat).unwrap_or_default() {
-            Repeat::Retryable | Repeat::Dedup { scope: DedupScope::All, .. } => true,
-            _ => !pending.attempts.iter().any(may_have_run),
-        };
+        let repeat = self.settings.classes.get(pending.asked.class).map(|class| class.repeat);
+        let free = matches!(repeat, Some(Repeat::Retryable | Repeat::Dedup { scope: DedupScope::All, .. }));
+        let harmless = free || !pending.attempts.iter().any(may_have_run);
         if !pending.seen && pending.attempts.iter().any(erred) {
             // It may be something that no machine knows: no demand, and nothing to be remembered.
             piece(&pending.asked).and_then(|key| self.objects.remove(&key));
@@ -835,13 +843,15 @@
         let Some(attempt) = open else { return };
         attempt.outcome = Some(result.outcome);
         let Attempt { cache, source, sent, fill, .. } = *attempt;
-        let own = sending_ms(&self.settings, &pending.asked);
+        let (seen, key, class) = (pending.seen, piece(&pending.asked), pending.asked.class);
+        if result.outcome == Outcome::Ok && pending.asked.size_kb.is_none() {
+            self.shown(class, key.as_ref(), result);
+        }
+        let own = self.requests.get(&result.id).map_or(0.0, |pending| self.sending_ms(&pending.asked));
         let telling = own >= TTFB_START_MS / 2.0; // Of tiny ones, round trips would hide the pace.
         self.fills = (self.fills - fill).max(0.0);
-        let (seen, key) = (pending.seen, piece(&pending.asked));
         for at in [Some(cache), Some(source).filter(|at| *at != cache)].into_iter().flatten() {
-            let node = &mut self.nodes[at];
-            node.inflight = node.inflight.saturating_sub(1);
+            self.nodes[at].inflight = self.nodes[at].inflight.saturating_sub(1);
         }
         // A report that says the same again is no news: a stuck one grows old.
         let busy = &mut self.nodes[cache].learned.busy;
@@ -947,8 +957,7 @@
         health.share -= HEALTH_GAIN * health.share;
         health.turned = 0;
         if health.ejected_until.is_some() {
-            let died = health.died;
-            let Health { last_ok, gap, broke, .. } = *health;
+            let Health { last_ok, gap, broke, died, .. } = *health;
             *health = Health { last_ok, gap, broke, ..Health::default() };
             if died {
                 self.nodes[at].started = Some(now); // Back without word of the list: taken as cold.
@@ -999,12 +1008,6 @@
     asked.object.clone().map(|object| (object, asked.piece))
 }
 
-/// A request's own sending time at full pace; 0 where its size isn't told.
-fn sending_ms(settings: &Settings, asked: &ClientRequest) -> Millis {
-    let size = asked.size_kb.unwrap_or(0.0).max(0.0);
-    settings.flow_kb_per_s.map_or(0.0, |pace| 1000.0 * size / pace.max(1.0))
-}
-
 fn may_have_run(attempt: &Attempt) -> bool {
     !attempt.outcome.is_some_and(Outcome::never_ran)
 }
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -212,6 +212,9 @@
             note: answer.and_then(|answer| answer.note),
             source_wait_ms: answer.and_then(|answer| answer.source_wait_ms),
             report: answer.map(|answer| answer.report).unwrap_or_default(),
+            size_kb: answer
+                .filter(|answer| !answer.unchanged)
+                .and_then(|answer| self.size_kb(answer.body.len())),
         };
         if let Some(plugins) = &mut self.plugins {
             self.watch.ended(now, &result.cache, &result.report);
@@ -223,6 +226,12 @@
         self.events.push_back(Event::Result(result));
     }
 
+    /// What an answer's bytes amount to as sizes are told: both paces are of the same transfer.
+    fn size_kb(&self, bytes: usize) -> Option<f64> {
+        let kb_a_byte = self.settings.flow_kb_per_s? / self.net.flow_bytes_per_s?;
+        Some(bytes as f64 * kb_a_byte).filter(|kb| *kb > 0.0)
+    }
+
     pub(super) fn ended(&mut self, now: Millis, key: AttemptKey, end: End) {
         let Some(out) = self.out.get(&key) else { return };
         let (client, id) = (out.client, out.id.clone());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -179,6 +179,7 @@
             note,
             source_wait_ms: note.map(|_| 15.0),
             report: LoadReport::default(),
+            size_kb: None,
         }))
     }
 
@@ -194,6 +195,7 @@
             note: Some(note),
             source_wait_ms,
             report: LoadReport::default(),
+            size_kb: None,
         }));
     }
 
@@ -237,5 +239,13 @@
 
 /// The network side's limits, wide enough for all that tests do.
 pub fn net() -> Net {
-    Net { dial_timeout_ms: 400.0, idle_ms: 3e4, streams: 32, max_open: 4096, memory: 1 << 28, sockets: 1024 }
+    Net {
+        dial_timeout_ms: 400.0,
+        idle_ms: 3e4,
+        streams: 32,
+        max_open: 4096,
+        memory: 1 << 28,
+        sockets: 1024,
+        flow_bytes_per_s: None,
+    }
 }
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -35,6 +35,7 @@
         max_open: 50,
         memory: 4_000_000,
         sockets: 1024,
+        flow_bytes_per_s: None,
     }
 }
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -65,6 +65,7 @@
                 note: Some(Note::Hit),
                 source_wait_ms: None,
                 report,
+                size_kb: None,
             }));
         }
         let first = driver.ask_sized(READ, "song", 3000.0);
@@ -238,3 +239,110 @@
         );
     }
 }
+
+/// Settings under which no request tells its size and no machine its link.
+fn untold() -> Settings {
+    Settings { weights: Weights::Silent, ..settings() }
+}
+
+/// How many of these requests the caches that have just started get, where nobody tells sizes.
+fn sent_to_the_cold(size_kb: Option<f64>, counted_kb: Option<f64>) -> usize {
+    let mut driver = Driver::new(untold(), fleet());
+    let ask = |driver: &mut Driver, turn: usize| {
+        let id = format!("u{turn}");
+        driver.send(Event::Request(ClientRequest {
+            id: id.as_str().into(),
+            repeat: false,
+            class: READ,
+            size_kb,
+            piece: 0,
+            budget_ms: 4000.0,
+            object: Some(format!("o{turn}").as_str().into()),
+            group: 7,
+            advice: None,
+        }))
+    };
+    let answer = |driver: &mut Driver, sent: Fetch, waited_ms| {
+        driver.send(Event::Result(AttemptResult {
+            id: sent.id,
+            attempt: 0,
+            cache: sent.cache,
+            outcome: Outcome::Ok,
+            waited_ms,
+            last: true,
+            note: Some(Note::Hit),
+            source_wait_ms: None,
+            report: LoadReport::default(),
+            size_kb: counted_kb,
+        }))
+    };
+    // Four seconds of usual work tell what a machine bears: ten requests a second of 300 ms each.
+    for turn in 0..40 {
+        driver.wait(100.0);
+        let sent = fetch(&ask(&mut driver, turn));
+        answer(&mut driver, sent, 320.0);
+    }
+    let since = Some(driver.now);
+    let cold =
+        ["e1", "e2", "e3"].map(|name| ListEntry { online_since: since, ..entry(name, "edge", "east") });
+    driver.send(Event::List { mode: ListMode::Changes, entries: cold.to_vec() });
+    let mut got = 0;
+    for turn in 40..140 {
+        driver.wait(10.0);
+        for action in ask(&mut driver, turn) {
+            if let Action::Fetch(sent) = action {
+                got += usize::from(sent.cache != "e4".into());
+                answer(&mut driver, sent, 320.0);
+            }
+        }
+    }
+    got
+}
+
+#[test]
+fn machines_that_have_just_started_are_spared_also_where_no_request_tells_its_size() {
+    // At 10 MB a second 3,000 KB are the 300 ms that a request takes.
+    let told = sent_to_the_cold(Some(3000.0), None);
+    let (counted, timed) = (sent_to_the_cold(None, Some(3000.0)), sent_to_the_cold(None, None));
+    assert!(
+        told < 10 && counted <= told + 1 && timed <= told + 1,
+        "{told} told, {counted} counted, {timed} timed"
+    );
+}
+
+#[test]
+fn a_size_that_an_answer_has_shown_holds_for_its_piece_and_the_mean_for_others() {
+    // A request that can't be sent in the time that is left is not sent at all.
+    let ask = |driver: &mut Driver, id: &str, object: &str, budget_ms: Millis| {
+        driver.send(Event::Request(ClientRequest {
+            id: id.into(),
+            repeat: false,
+            class: READ,
+            size_kb: None,
+            piece: 0,
+            budget_ms,
+            object: Some(object.into()),
+            group: 7,
+            advice: None,
+        }))
+    };
+    let mut driver = Driver::new(untold(), fleet());
+    for (id, object, kb) in [("a", "small", 100.0), ("b", "large", 20_000.0)] {
+        let sent = fetch(&ask(&mut driver, id, object, 4000.0));
+        driver.send(Event::Result(AttemptResult {
+            id: sent.id,
+            attempt: 0,
+            cache: sent.cache,
+            outcome: Outcome::Ok,
+            waited_ms: 50.0,
+            last: true,
+            note: Some(Note::Hit),
+            source_wait_ms: None,
+            report: LoadReport::default(),
+            size_kb: Some(kb),
+        }));
+    }
+    assert!(refused(&ask(&mut driver, "c", "large", 1500.0)), "its 2 s don't fit");
+    fetch(&ask(&mut driver, "d", "small", 1500.0));
+    fetch(&ask(&mut driver, "e", "new", 1500.0));
+}
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -126,6 +126,7 @@
             note: Some(Note::Filled),
             source_wait_ms: Some(wait),
             report: LoadReport::default(),
+            size_kb: None,
         }));
         driver.now += 2000.0;
     }
