--- /dev/null
+++ b/crates/frostturn-lab/src/check/tests.rs
@@ -0,0 +1,89 @@
+//! Each rule is broken once by what a wrong router would do: a check that can't fail is none.
+
+use super::*;
+
+fn served(checker: &mut Checker, id: u64, at: Millis) {
+    checker.answered(id, at, Answer::Served { stamp_ms: 0.0 });
+}
+
+#[test]
+fn a_router_that_keeps_the_rules_passes() {
+    let mut checker = Checker::default();
+    checker.asked(1, 1, 7, 0.0, 1000.0);
+    checker.arrived(1, 0, 5.0);
+    served(&mut checker, 1, 10.0);
+    let verdict = checker.finish();
+    assert!(verdict.rules.kept() && verdict.served == 1, "{:?}", verdict.examples);
+}
+
+#[test]
+fn one_that_says_nothing_late_or_twice_loses_requests() {
+    let mut checker = Checker::default();
+    (1..=3).for_each(|id| checker.asked(id, 2, 7, 0.0, 1000.0));
+    served(&mut checker, 2, 1200.0);
+    served(&mut checker, 3, 10.0);
+    served(&mut checker, 3, 11.0);
+    assert_eq!(checker.finish().rules.lost, 3);
+}
+
+#[test]
+fn what_a_killed_router_held_is_excused_and_nothing_else() {
+    let mut checker = Checker::default();
+    (1..=2).for_each(|id| checker.asked(id, 1, 7, 0.0, 1000.0));
+    checker.arrived(1, 0, 5.0);
+    checker.arrived(1, 1, 6.0);
+    checker.excuse(1);
+    let rules = checker.finish().rules;
+    assert_eq!((rules.lost, rules.doubled), (1, 1));
+}
+
+#[test]
+fn one_that_sends_a_swap_over_another_address_doubles_it() {
+    let mut checker = Checker::default();
+    checker.asked(1, 1, 7, 0.0, 1000.0);
+    checker.asked(2, 2, 7, 0.0, 1000.0);
+    for id in [1, 2] {
+        checker.arrived(id, 0, 5.0);
+        checker.arrived(id, 0, 90.0);
+        served(&mut checker, id, 95.0);
+    }
+    assert_eq!(checker.finish().rules.doubled, 1);
+}
+
+#[test]
+fn one_that_goes_on_sending_to_a_draining_machine_breaks_the_rule_on_drains() {
+    let mut checker = Checker::default();
+    checker.told(3, Some(0.0));
+    for (id, at) in [(1, 900.0), (2, 1100.0)] {
+        checker.asked(id, 2, 7, at, 1000.0);
+        checker.arrived(id, 3, at);
+        served(&mut checker, id, at + 1.0);
+    }
+    checker.told(3, None);
+    checker.arrived(1, 3, 5000.0);
+    assert_eq!(checker.finish().rules.drain, 1);
+}
+
+#[test]
+fn one_that_storms_a_cold_machine_with_handshakes_breaks_its_budget() {
+    let mut checker = Checker::default();
+    let budget = Budget { first: 10.0, last: 40.0 };
+    checker.started_cold(2, 0.0, 5000.0, budget);
+    checker.started_cold(3, 0.0, 5000.0, budget);
+    for at in 0..12 {
+        checker.shaken(2, 100.0 + f64::from(at));
+        checker.shaken(3, 100.0 + 200.0 * f64::from(at));
+    }
+    assert_eq!(checker.finish().rules.cold, 1);
+}
+
+#[test]
+fn one_that_serves_an_older_copy_breaks_the_rule_on_purges() {
+    let mut checker = Checker::default();
+    checker.purged(7, 100.0, 5000.0);
+    for (id, at, stamp_ms) in [(1, 1000.0, 4000.0), (2, 1200.0, 4000.0), (3, 1200.0, 6000.0)] {
+        checker.asked(id, 2, 7, at, 1000.0);
+        checker.answered(id, at + 5.0, Answer::Served { stamp_ms });
+    }
+    assert_eq!(checker.finish().rules.purge, 1);
+}
--- /dev/null
+++ b/crates/frostturn-lab/src/fleet/sim/tests.rs
@@ -0,0 +1,40 @@
+use super::super::check::{judge, Figures, Truth};
+use super::*;
+
+const SPAN_MS: Millis = 40_000.0;
+/// Hundreds were played before they were cut to these, which take some seconds.
+const SEEDS: u64 = 16;
+
+fn played(seed: u64, routers: usize) -> (Figures, Cost) {
+    let schedule = Schedule::draw(seed, routers, SPAN_MS);
+    let Played { said, starts, cost } = play(&schedule, routers, seed, SPAN_MS);
+    let done: Vec<(Millis, What)> = schedule.0.iter().map(|step| (step.at_ms, step.what.clone())).collect();
+    (judge(&Truth::new(0.0, &done, starts, SPAN_MS), &said), cost)
+}
+
+#[test]
+fn drawn_faults_keep_every_bound_at_twelve_and_sixteen_routers() {
+    let mut bad = Vec::new();
+    for (routers, seed) in (0..SEEDS).map(|seed| (12, seed)).chain((0..6).map(|seed| (16, seed))) {
+        let (figures, cost) = played(seed, routers);
+        let broken: Vec<_> = figures.bounds().into_iter().filter(|bound| !bound.kept).collect();
+        if !broken.is_empty() || cost.datagrams_s > 12.0 || cost.bytes_s > 10_000.0 {
+            let schedule = Schedule::draw(seed, routers, SPAN_MS).print();
+            let what = &figures.examples;
+            bad.push(format!("{routers}, seed {seed}: {broken:?} {cost:?} {what:?}\n{schedule}"));
+        }
+    }
+    assert!(bad.is_empty(), "{} runs:\n{}", bad.len(), bad.join("\n"));
+}
+
+/// What holds at every instant, and what it costs, where rolls are called; times at these sizes are `run fleet-sim`'s.
+#[test]
+fn drawn_faults_never_break_what_rolls_promise() {
+    let sizes = (0..6).map(|seed| (24, seed)).chain((0..3).map(|seed| (100, seed)));
+    for (routers, seed) in sizes {
+        let (figures, cost) = played(seed, routers);
+        let shown = (figures.knows_first, figures.false_gone);
+        assert_eq!(shown, (0, 0), "{routers}, seed {seed}: {:?}", figures.examples);
+        assert!(cost.datagrams_s <= 12.0 && cost.bytes_s <= 10_000.0, "{routers}, seed {seed}: {cost:?}");
+    }
+}
--- /dev/null
+++ b/src/fleet/rolls/call/tests.rs
@@ -0,0 +1,66 @@
+use super::*;
+use crate::fleet::rolls::wire::Life;
+
+fn book() -> Book {
+    let mut book = Book::new(8, 0.0);
+    for of in 0..8 {
+        book.learn(of, Life { start: 9, term: 1, mark: Mark::Here }, 0.0);
+    }
+    book
+}
+
+#[test]
+fn of_each_epoch_the_best_two_are_kept_and_what_is_too_old_or_to_come_is_refused() {
+    let (mut calls, book) = (Calls::default(), book());
+    let all = heard_since(4, &[Some(5); 8], &book);
+    for by in 0..8 {
+        calls.call(Kind::Heard, [5, 4], by, all.clone(), &book);
+    }
+    let mut ranks: Vec<u32> = (0..8).map(|by| rank(5, by)).collect();
+    ranks.sort_unstable();
+    assert_eq!(calls.of(Kind::Heard).map(|(key, _)| key.2).collect::<Vec<_>>(), ranks[..2]);
+    let told = calls.tell([2, 2], 0, 500).remove(0);
+    let mut other = Calls::default();
+    assert_eq!(other.told(&told, 8, 4), None, "of an epoch to come");
+    assert_eq!(other.told(&told, 8, 5 + KEPT), None);
+    assert_eq!(other.told(&told, 2, 6), None, "of another roster");
+    let key = other.told(&told, 8, 6).expect("taken");
+    other.sign(&key, 6, &FixedBitSet::with_capacity(8));
+    assert_eq!(other.get(&key).map(|roll| roll.signed.count_ones(..)), Some(1));
+    let changed = Told { digest: told.digest ^ 1, ..told };
+    assert_eq!(other.told(&changed, 8, 6), None, "another one by the same name");
+    other.entered(5 + KEPT);
+    assert_eq!(other.of(Kind::Heard).count(), 0);
+}
+
+#[test]
+fn nobody_signs_what_it_knows_differently_or_has_given_up() {
+    let (mut calls, mut book) = (Calls::default(), book());
+    let set = heard_since(4, &[Some(5), Some(4), Some(3), None, Some(5), None, None, None], &book);
+    assert_eq!(set.ones().collect::<Vec<_>>(), [0, 1, 4]);
+    calls.call(Kind::Heard, [5, 4], 0, set.clone(), &book);
+    calls.call(Kind::GivenUp, [4, 4], 0, set, &book);
+    let without = |kind: Kind, book: &Book, gave_up: &[usize], waits: bool| {
+        let (key, roll) = calls.of(kind).next().expect("called");
+        let mut these = FixedBitSet::with_capacity(8);
+        gave_up.iter().for_each(|of| these.insert(*of));
+        let without = may_sign(key, roll, book, &these, waits)?;
+        Some(without.ones().collect::<Vec<_>>())
+    };
+    assert_eq!(without(Kind::Heard, &book, &[2, 4], false), Some(vec![4]), "it can't say that of 4");
+    assert_eq!(without(Kind::GivenUp, &book, &[0, 1, 4, 5], true), Some(vec![]));
+    assert_eq!(without(Kind::GivenUp, &book, &[0, 1], true), None);
+    assert_eq!(without(Kind::GivenUp, &book, &[0, 1], false), Some(vec![4]));
+    assert_eq!(without(Kind::GivenUp, &book, &[5], false), None, "nothing of it is so");
+    book.learn(1, Life { start: 9, term: 2, mark: Mark::Here }, 0.0);
+    assert_eq!(without(Kind::Heard, &book, &[], false), Some(vec![]));
+    assert_eq!(without(Kind::GivenUp, &book, &[0, 1, 4], false), Some(vec![1]), "another term");
+    book.learn(1, Life { start: 10, term: 1, mark: Mark::Here }, 0.0);
+    assert_eq!(without(Kind::Heard, &book, &[], false), None, "another start");
+    assert!(!heard_since(4, &[Some(5); 8], &{
+        let mut book = book.clone();
+        book.mark(6, Mark::Doubted, 0.0);
+        book
+    })
+    .contains(6));
+}
--- /dev/null
+++ b/src/plugins/breaker/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+#[test]
+fn pauses_grow_and_end_in_staying_out() {
+    let (mut breaker, mut now, mut pauses) = (Breaker::default(), 0.0, Vec::new());
+    while breaker.state(now) != State::Out {
+        match breaker.state(now) {
+            State::Afresh => breaker.begun(),
+            State::Paused => {
+                now += 100.0;
+                continue;
+            }
+            _ => {}
+        }
+        pauses.extend(breaker.failed(now));
+    }
+    let grown = [1e3, 2e3, 4e3, 8e3, 16e3, 32e3, 60e3, 60e3, f64::INFINITY];
+    assert_eq!(pauses, grown);
+}
+
+#[test]
+fn a_fault_now_and_then_does_not_pause_it() {
+    let mut breaker = Breaker::default();
+    for _ in 0..1000 {
+        assert_eq!(breaker.failed(0.0), None);
+        breaker.good();
+    }
+    assert_eq!(breaker.state(0.0), State::Closed);
+}
