Shut the door at the end: nothing read later is sent on, and no close resets what crosses it

Cause: after SIGTERM Service knew only Ending, so a request that was read after the listener had closed was sent on like any other, and the process could end before its answer (reducer/requests.rs asked). At the end connections with nothing unwritten were dropped, a half-sent request on them too (runtime/mod.rs over, Drop), and a close() over unread bytes reset the peer; idle connections to endpoints likewise (runtime/machines.rs link_down).

Change: Service has a state Shut, entered by Input::DoorShut once what has come is accepted and read; from then on requests are refused and sent nowhere. One with a request half there is waited for until it is whole or late. An idle or shed client is read once more before its close.

--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -264,6 +264,7 @@
             Input::Notice { notice, unix_ms } => self.notice(now, notice, unix_ms),
             Input::Due => {}
             Input::Terminate => self.terminate(now),
+            Input::DoorShut => self.service.shut(),
             Input::HandedOver { excluded, unix_ms } => self.handed_over(now, excluded, unix_ms),
             Input::Changed { caller, result, unix_ms } => self.changed(now, caller, result, unix_ms),
             Input::ColdPart(part) => self.cold_part(part),
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -43,6 +43,9 @@
         };
         self.counters.taken += 1;
         self.counters.repeats += u64::from(ask.repeat);
+        if !self.service.takes_requests() {
+            return self.decline(client, &ask.class); // The process could end before its answer.
+        }
         let mut guard = now + ask.timeout_ms - age_ms.max(0.0) - GUARD_MS;
         if let Some(kill) = self.service.ending().map(|at| at + self.patience()) {
             guard = guard.min(kill);
@@ -50,11 +53,7 @@
         let no_room = self.held_bytes + ask.body.len() > (self.net.memory as f64 * HELD_BODIES) as usize;
         let most = self.net.max_open.min((self.net.memory as f64 * HELD_STATE / HELD_EACH) as usize);
         if self.held.len() >= most || no_room || guard <= now {
-            self.counters.shed += 1;
-            self.counters.refused += 1;
-            self.results.count(&ask.class, ops::Disposition::Declined);
-            let reply = Reply::Refused { hold_off_ms: None };
-            return self.effects.push(Effect::Answer { client, reply });
+            return self.decline(client, &ask.class);
         }
         let advice = self
             .plugins
@@ -80,6 +79,15 @@
         self.at(guard, Due::Guard(client));
     }
 
+    /// Refuses a request that is not taken.
+    fn decline(&mut self, client: Client, class: &str) {
+        self.counters.shed += 1;
+        self.counters.refused += 1;
+        self.results.count(class, ops::Disposition::Declined);
+        let reply = Reply::Refused { hold_off_ms: None };
+        self.effects.push(Effect::Answer { client, reply });
+    }
+
     /// Ends a request without an answer: its client is gone.
     pub(super) fn aborted(&mut self, now: Millis, client: Client) {
         let Some(held) = self.release(client) else { return };
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -159,6 +159,8 @@
     Due,
     /// The operators want it to end.
     Terminate,
+    /// [`Effect::StopListening`] is carried out, and what had come by then is read.
+    DoorShut,
     /// What operators have taken out, as it is saved for all processes of this router.
     HandedOver {
         /// Those machines.
@@ -277,7 +279,7 @@
     },
     /// A line for the operators.
     Log(String),
-    /// Take no more connections.
+    /// Take no more connections, read what has come by now, and say [`Input::DoorShut`].
     StopListening,
     /// All is answered: send what is left and end, at the latest by then.
     Exit {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -18,6 +18,15 @@
 /// How long to wait before accepting again when there is no descriptor for another connection.
 const ACCEPT_PAUSE_MS: Millis = 20.0;
 
+/// Why a client's connection is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Over {
+    /// Its client has closed or reset it.
+    Gone,
+    /// What comes on it can't be read, or it takes nothing of what it is owed.
+    Faulty,
+}
+
 /// What a client's connection has brought, for the reducer.
 fn heard_input(conn: u64, heard: front::Heard) -> Input {
     let client = |serial| Client { conn, serial };
@@ -63,24 +72,36 @@
         self.dirty.insert(Source::Listener);
     }
 
-    /// Makes room for another client: the silent and then the longest idle ones go first.
+    /// Makes room for another client: the silent and then the longest idle ones go first. What has just come on one
+    /// is read before, as it isn't spare then; and it doesn't linger, since its descriptor is what is wanted.
     pub(super) fn shed_front(&mut self) -> bool {
         let now = self.now();
         let spare = self.fronts.iter().filter_map(|(key, (_, conn))| Some((conn.spare(now)?, *key)));
-        let Some((_, key)) = spare.min() else { return false };
-        self.reducer.counters.clients_shed += 1;
-        self.close_front(key);
-        true
+        let mut spare: Vec<_> = spare.collect();
+        spare.sort_unstable();
+        for (_, key) in spare {
+            if self.read_unheard(key).is_none()
+                && self.fronts.get(&key).is_none_or(|(_, c)| c.spare(now).is_none())
+            {
+                continue;
+            }
+            self.reducer.counters.clients_shed += 1;
+            self.end_front(key, Over::Gone);
+            return true;
+        }
+        false
     }
 
     /// Looks for clients that are silent, deaf or gone, and for requests that should have been whole by now.
     pub(super) fn sweep(&mut self, now: Millis) {
-        let (mut over, empties) = (Vec::new(), self.reducer.closes_at_rest(now));
+        let (mut over, mut idle) = (Vec::new(), Vec::new());
+        let empties = self.reducer.closes_at_rest(now);
         for (key, (_, conn)) in &mut self.fronts {
             let before = conn.holding();
             match conn.standing(now) {
-                Standing::Good if empties && conn.at_rest() => over.push(*key),
+                Standing::Good if empties && conn.at_rest() => idle.push(*key),
                 Standing::Good => {}
+                Standing::Over if conn.at_rest() => idle.push(*key),
                 Standing::Over => over.push(*key),
                 Standing::Late(late) => {
                     self.inbox.extend(late.into_iter().map(|heard| heard_input(*key, heard)));
@@ -88,37 +109,55 @@
             }
             self.coming = self.coming + conn.holding() - before;
         }
-        self.reducer.counters.clients_stale += over.len() as u64;
-        over.into_iter().for_each(|key| self.close_front(key));
+        self.reducer.counters.clients_stale += (over.len() + idle.len()) as u64;
+        over.into_iter().for_each(|key| self.end_front(key, Over::Faulty));
+        idle.into_iter().for_each(|key| self.rest_front(key));
+    }
+
+    /// Closes a connection that rests, unless its client has just sent something.
+    fn rest_front(&mut self, key: u64) {
+        match self.read_unheard(key) {
+            Some(over) => self.end_front(key, over),
+            None if self.fronts.get(&key).is_some_and(|(_, conn)| conn.at_rest()) => self.close_front(key),
+            None => drop(self.dirty.insert(Source::Front(key))),
+        }
     }
 
     pub(super) fn serve_front(&mut self, key: u64) {
-        let over = self.read_front(key) || self.write_front(key);
+        if let Some(over) = self.read_front(key).or_else(|| self.write_front(key)) {
+            return self.end_front(key, over);
+        }
         // One that is never at rest for long is closed as its last answer has left.
         let empties = self.reducer.closes_at_rest(self.now());
         let done = |(_, conn): &(Sock, Conn)| conn.over() || (empties && conn.at_rest());
-        if over || self.fronts.get(&key).is_some_and(done) {
+        if self.fronts.get(&key).is_some_and(done) {
             self.close_front(key);
         }
     }
 
-    /// Reads what a client has sent; true if its connection has ended.
-    pub(super) fn read_front(&mut self, key: u64) -> bool {
+    /// Reads what a client has sent, also where the loop has had no word of it yet.
+    pub(super) fn read_unheard(&mut self, key: u64) -> Option<Over> {
+        self.fronts.get_mut(&key)?.0.readable = true;
+        self.read_front(key)
+    }
+
+    /// Reads what a client has sent; why its connection is over, if it is.
+    pub(super) fn read_front(&mut self, key: u64) -> Option<Over> {
         let mut read = 0;
         loop {
             let now = self.now();
-            let Some((sock, conn)) = self.fronts.get_mut(&key) else { return false };
+            let (sock, conn) = self.fronts.get_mut(&key)?;
             if !sock.readable || !conn.listens() {
-                return false;
+                return None;
             }
             if read >= READ_AT_ONCE {
                 self.dirty.insert(Source::Front(key));
-                return false;
+                return None;
             }
             let bytes = match sock.read(&mut self.buffer) {
                 Ok(bytes) => bytes,
-                Err(Io::Over(_)) => return true,
-                Err(_) => return false,
+                Err(Io::Over(_)) => return Some(Over::Gone),
+                Err(_) => return None,
             };
             read += bytes;
             let before = conn.holding();
@@ -133,7 +172,7 @@
                 Err(fault) => {
                     self.reducer.counters.client_faults += 1;
                     say!("a client's record can't be read: {fault:?}");
-                    return true;
+                    return Some(Over::Faulty);
                 }
             }
             if self.coming > self.most_coming {
@@ -148,23 +187,23 @@
         let Some(key) = most.map(|(key, _)| *key) else { return };
         self.reducer.counters.client_faults += 1;
         say!("no memory for what a client sends");
-        self.close_front(key);
+        self.end_front(key, Over::Faulty);
     }
 
-    /// Writes what a client is owed; true if its connection has ended.
-    pub(super) fn write_front(&mut self, key: u64) -> bool {
+    /// Writes what a client is owed; why its connection is over, if it is.
+    pub(super) fn write_front(&mut self, key: u64) -> Option<Over> {
         let (mut written, now) = (0, self.now());
-        let Some((sock, conn)) = self.fronts.get_mut(&key) else { return false };
+        let (sock, conn) = self.fronts.get_mut(&key)?;
         let deaf = !conn.listens();
         let over = loop {
-            let Some(bytes) = conn.output().filter(|_| sock.writable) else { break false };
+            let Some(bytes) = conn.output().filter(|_| sock.writable) else { break None };
             match sock.write(bytes) {
                 Ok(bytes) => {
                     conn.wrote(now, bytes);
                     written += bytes;
                 }
-                Err(Io::Over(_)) => break true,
-                Err(_) => break false,
+                Err(Io::Over(_)) => break Some(Over::Gone),
+                Err(_) => break None,
             }
         };
         if deaf && conn.listens() && sock.readable {
@@ -176,11 +215,27 @@
         over
     }
 
-    pub(super) fn close_front(&mut self, key: u64) {
-        if let Some((sock, conn)) = self.fronts.remove(&key) {
-            self.coming -= conn.holding();
+    /// A client's connection is over: what is owed to others on it is written as far as that goes at once.
+    pub(super) fn end_front(&mut self, key: u64, over: Over) {
+        if over == Over::Faulty && self.write_front(key).is_none() {
+            return self.close_front(key);
+        }
+        if let Some(sock) = self.forget_front(key) {
             self.handle.remove(sock.token);
-            self.inbox.push(Input::Closed { conn: key });
         }
     }
+
+    /// Closes a client's connection from this side.
+    pub(super) fn close_front(&mut self, key: u64) {
+        if let Some(sock) = self.forget_front(key) {
+            self.linger(Source::Front(key), sock);
+        }
+    }
+
+    fn forget_front(&mut self, key: u64) -> Option<Sock> {
+        let (sock, conn) = self.fronts.remove(&key)?;
+        self.coming -= conn.holding();
+        self.inbox.push(Input::Closed { conn: key });
+        Some(sock)
+    }
 }
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -226,7 +226,11 @@
     pub(super) fn link_down(&mut self, key: LinkKey, why: &'static str) {
         let now = self.now();
         if let Some(sock) = self.link_socks.remove(&key) {
-            self.handle.remove(sock.token);
+            match why {
+                // Its peer is well, and may have begun to say something: it isn't reset under that.
+                "idle" => self.linger(Source::Link(key), sock),
+                _ => self.handle.remove(sock.token),
+            }
         }
         let machine = self.links.member(key).map(CacheId::to_string).unwrap_or_default();
         let endpoint = self.links.endpoint(key).cloned();
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod fleet;
 mod handover;
+mod lingering;
 mod machines;
 mod operators;
 mod plugins;
@@ -32,8 +33,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// At the end: how long what has left may take to arrive.
-const LAST_READS_MS: Millis = 60.0;
+/// At the end: how often what has come on a connection that is still owed something is read away.
+const LAST_READS: usize = 16;
 /// Part of the memory limit that requests which are still coming in may take.
 const COMING_IN: f64 = 0.1;
 /// Time between looks for client connections whose client is silent or gone.
@@ -96,6 +97,10 @@
     sweep_at: Millis,
     fronts: BTreeMap<u64, (Sock, Conn)>,
     next_front: u64,
+    /// Connections of both sides that are closed from here, until their peers close too.
+    lingering: BTreeMap<Source, lingering::Lingering>,
+    /// File descriptors that may be held.
+    sockets: usize,
     links: Links,
     link_socks: BTreeMap<LinkKey, Sock>,
     /// Dials that are open, for which connection and where to.
@@ -183,6 +188,8 @@
         sweep_at: SWEEP_MS,
         fronts: BTreeMap::new(),
         next_front: 0,
+        lingering: BTreeMap::new(),
+        sockets: config.net.sockets,
         links,
         link_socks: BTreeMap::new(),
         dials: BTreeMap::new(),
@@ -238,9 +245,20 @@
     }
 
     fn over(&self) -> bool {
-        let flushed =
-            || self.reducer.open() == 0 && self.fronts.values().all(|(_, conn)| conn.unwritten() == 0);
-        self.exit_by.is_some_and(|by| self.now() >= by || flushed())
+        let closed = || self.reducer.open() == 0 && self.fronts.is_empty() && self.lingering.is_empty();
+        self.exit_by.is_some_and(|by| self.now() >= by || closed())
+    }
+
+    /// At the end, once nothing is owed: connections at rest are closed, whatever comes on them. One on which a request
+    /// is half there is waited for: its client could write the last byte before it hears of the close. It is answered
+    /// as it is whole, or as it is late.
+    fn close_all(&mut self) {
+        if self.exit_by.is_none() || self.reducer.open() > 0 {
+            return;
+        }
+        let resting = self.fronts.iter().filter(|(_, (_, conn))| conn.at_rest());
+        let resting: Vec<u64> = resting.map(|(key, _)| *key).collect();
+        resting.into_iter().for_each(|key| self.close_front(key));
     }
 
     /// When the loop is to wake up at the latest.
@@ -250,8 +268,8 @@
         }
         let board = Some(self.follower.due);
         let seat = self.seat.as_ref().and_then(fleet::Seat::due_in).map(|wait| self.now() + wait);
-        let dues =
-            [self.reducer.next_due(), self.links.next_due(), board, self.accept_from, self.exit_by, seat];
+        let (links, lingering) = (self.links.next_due(), self.lingering_due());
+        let dues = [self.reducer.next_due(), links, board, self.accept_from, self.exit_by, seat, lingering];
         dues.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 
@@ -278,6 +296,9 @@
         }
         for (source, readiness) in std::mem::take(&mut self.ready) {
             let sock = match source {
+                _ if self.lingering.contains_key(&source) => {
+                    self.lingering.get_mut(&source).map(|one| &mut one.sock)
+                }
                 Source::Link(key) => self.link_socks.get_mut(&key),
                 Source::Dial(key) => self.dials.get_mut(&key).map(|(.., sock)| sock),
                 Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
@@ -301,6 +322,7 @@
         }
         self.fleet_due();
         self.links_due();
+        self.end_lingering(now);
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_MS;
             self.sweep(now);
@@ -319,11 +341,13 @@
             self.save_state(); // A successor has the whole cold budget from now on.
             self.work();
         }
+        self.close_all();
     }
 
     /// Serves one connection. A panic stops there: the connection ends, the rest goes on.
     fn serve(&mut self, source: Source) {
         let served = catch_unwind(AssertUnwindSafe(|| match source {
+            lingers if self.serve_lingering(lingers) => {}
             Source::Link(key) => self.serve_link(key),
             Source::Dial(key) => self.serve_dial(key),
             Source::Front(key) => self.serve_front(key),
@@ -339,7 +363,7 @@
             match source {
                 Source::Link(key) => self.link_down(key, "panic"),
                 Source::Dial(key) => self.close_dial(key),
-                Source::Front(key) => self.close_front(key),
+                Source::Front(key) => self.end_front(key, clients::Over::Gone),
                 Source::Board => self.board_failed("panic"),
                 Source::Caller(key) => self.close_caller(key),
                 Source::Listener | Source::Callers | Source::Fleet => {}
@@ -414,6 +438,15 @@
                 if let Some((_, token)) = self.listener.take() {
                     self.handle.remove(token);
                 }
+                // Nor is what has come by now: it is read, and taken, before the first that comes too late.
+                let fronts: Vec<u64> = self.fronts.keys().copied().collect();
+                for key in fronts {
+                    if let Some(over) = self.read_unheard(key) {
+                        self.end_front(key, over);
+                    }
+                    self.dirty.insert(Source::Front(key));
+                }
+                self.inbox.push(Input::DoorShut);
             }
             Effect::Exit { by } => self.exit_by = Some(by),
         }
@@ -434,6 +467,7 @@
             say!(always; "a new listen address or new settings take effect at the next start");
         }
         self.most_coming = (config.net.memory as f64 * COMING_IN) as usize;
+        self.sockets = config.net.sockets;
         self.reducer.set_net(config.net);
         self.links.set_most(self.reducer.most_links());
         self.links.set_rules(operator.addresses);
@@ -452,11 +486,15 @@
 }
 
 impl Drop for Runtime {
-    /// What has left may still be on its way: closing at once could throw it away with a reset.
+    /// Its time is up with clients that still read: what has come is read away, so that the close resets nothing.
     fn drop(&mut self) {
-        for (sock, ..) in self.fronts.values() {
-            let _ = sock.stream.shutdown(Shutdown::Write);
+        for (sock, ..) in self.fronts.values_mut() {
+            let _ = sock.stream.shutdown(Shutdown::Write); // It may have gone.
+            for _ in 0..LAST_READS {
+                if sock.read(&mut self.buffer).is_err() {
+                    break;
+                }
+            }
         }
-        std::thread::sleep(Duration::from_secs_f64(LAST_READS_MS / 1000.0));
     }
 }
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -8,7 +8,8 @@
 //! | starting, no machine known | no | taken | kept |
 //! | serving | yes | taken | kept |
 //! | evacuating | no | taken: they come until the front has heard of it | closed after a moment |
-//! | ending | no | taken for a while, then not | kept until the end |
+//! | ending | no | taken for a while | kept: requests still come on them |
+//! | shut | no | not taken; what still comes on old ones is refused and sent nowhere | closed at once |
 
 mod exclusions;
 
@@ -28,22 +29,25 @@
     Evacuating(Millis),
     /// It was told to end, at that time.
     Ending(Millis),
+    /// It was told to end at that time, and takes nothing more.
+    Shut(Millis),
 }
 
 impl Service {
     /// Operators have it emptied. Asked twice, the first time counts; one that ends goes on to end.
     pub fn evacuate(&mut self, now: Millis) {
-        if *self == Self::Serving {
-            *self = Self::Evacuating(now);
+        match self {
+            Self::Serving => *self = Self::Evacuating(now),
+            Self::Evacuating(_) | Self::Ending(_) | Self::Shut(_) => {}
         }
     }
 
     /// It takes clients again; false if it ends and can't.
     pub fn rejoin(&mut self) -> bool {
-        if let Self::Ending(_) = self {
-            return false;
+        match self {
+            Self::Serving | Self::Evacuating(_) => *self = Self::Serving,
+            Self::Ending(_) | Self::Shut(_) => return false,
         }
-        *self = Self::Serving;
         true
     }
 
@@ -56,11 +60,27 @@
         first
     }
 
+    /// All that came in time has been taken: nothing more is. Only one that ends is shut.
+    pub fn shut(&mut self) {
+        match self {
+            Self::Ending(at) => *self = Self::Shut(*at),
+            Self::Serving | Self::Evacuating(_) | Self::Shut(_) => {}
+        }
+    }
+
+    /// Whether a request that is read now may be sent on.
+    pub fn takes_requests(&self) -> bool {
+        match self {
+            Self::Serving | Self::Evacuating(_) | Self::Ending(_) => true,
+            Self::Shut(_) => false,
+        }
+    }
+
     /// Since when it ends.
     pub fn ending(&self) -> Option<Millis> {
         match self {
-            Self::Ending(at) => Some(*at),
-            _ => None,
+            Self::Ending(at) | Self::Shut(at) => Some(*at),
+            Self::Serving | Self::Evacuating(_) => None,
         }
     }
 
@@ -71,7 +91,11 @@
 
     /// Whether a client's connection with nothing open may be closed now.
     pub fn closes_at_rest(&self, now: Millis) -> bool {
-        matches!(self, Self::Evacuating(since) if now - since >= HEARD_MS)
+        match self {
+            Self::Evacuating(since) => now - since >= HEARD_MS,
+            Self::Shut(_) => true,
+            Self::Serving | Self::Ending(_) => false,
+        }
     }
 }
 
--- a/src/service/tests.rs
+++ b/src/service/tests.rs
@@ -13,4 +13,19 @@
     assert_eq!((service.ending(), service.closes_at_rest(1e9)), (Some(1100.0), false));
     service.evacuate(1300.0);
     assert!(!service.rejoin() && service.ending() == Some(1100.0));
+    assert!(service.takes_requests());
+    service.shut();
+    assert!(!service.takes_requests() && service.closes_at_rest(1100.0));
+    service.evacuate(1400.0);
+    assert!(!service.rejoin() && !service.end(1500.0) && service.ending() == Some(1100.0));
+    assert!(!service.takes_requests(), "nothing opens it again");
+}
+
+#[test]
+fn only_one_that_ends_is_shut() {
+    for mut service in [Service::Serving, Service::Evacuating(3.0)] {
+        let before = service;
+        service.shut();
+        assert_eq!((service, service.takes_requests()), (before, true));
+    }
 }
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,201 @@
+//! Shutdown: what is open when the process is told to end, what still comes, and how connections are closed.
+
+mod rig;
+
+use rig::{figure, pass, until, Client, Endpoint, Event, Router, Site};
+use std::io::Write;
+use std::net::TcpStream;
+
+/// From the signal on, new requests are taken for so long (the platform's page gives 0.6 s).
+const DOOR_MS: u64 = 700;
+
+/// A site of one endpoint whose answers may be held: nothing is tried twice, and a dial may take long.
+fn once(endpoint: &Endpoint) -> Site {
+    let mut site = Site::new(&[("e-1", endpoint)]);
+    site.limits = r#""MostTries":1,"Cancelling":true,"DialTimeoutMs":5000.0"#;
+    site
+}
+
+/// Waits until the router takes no more connections.
+fn door_shut(router: &Router) {
+    until("the listener is closed", || TcpStream::connect(&router.address).is_err());
+}
+
+#[test]
+fn requests_in_every_state_at_the_signal_are_answered() {
+    let (near, mut late) = (Endpoint::new(), Endpoint::late());
+    let router = Router::start("states", &once(&near));
+    let mut client = Client::connect(&router);
+    client.ask(1, "page", 1);
+    let half = near.asked();
+    client.ask(2, "swap", 2);
+    let whole = near.asked();
+    let mut dialling = once(&late);
+    dialling.limits = r#""MostTries":9,"Cancelling":true,"DialTimeoutMs":5000.0"#;
+    let other = Router::start("dialling", &dialling);
+    let mut waits = Client::connect(&other);
+    waits.ask(1, "page", 3);
+    until("it dials", || other.count("dials") > 0);
+    // Being read: its second half comes after the signal.
+    let mut slow = Client::connect(&router);
+    let bytes = Client::request(1, "page", 4, 0xab, b"body");
+    slow.stream.write_all(&bytes[..bytes.len() / 2]).expect("written");
+    // Half answered: the rest is there when it looks again, however late that is.
+    near.write(half.conn, b"*4\r\n$16\r\n0000").expect("written");
+    router.hold();
+    router.signal("-TERM");
+    other.signal("-TERM");
+    near.write(half.conn, b"000000000001\r\n$4\r\nDONE\r\n$11\r\ntell=cached\r\n$1\r\nx\r\n")
+        .expect("written");
+    router.go();
+    router.waits_for("told to end");
+    slow.stream.write_all(&bytes[bytes.len() / 2..]).expect("written");
+    let read = near.asked();
+    assert_eq!(read.id, format!("{:016x}", 4));
+    near.serve(&read);
+    near.serve(&whole);
+    assert_eq!((client.status(1), client.status(2), slow.status(1)), (200, 200, 200));
+    late.open();
+    late.serve(&late.asked());
+    assert_eq!(waits.status(1), 200, "its dial came up after the signal");
+    assert_eq!((figure(&router.ends(), "served"), figure(&other.ends(), "served")), (3, 1));
+}
+
+#[test]
+fn a_request_and_the_signal_in_one_wake_and_a_second_signal_leave_it_answered() {
+    let endpoint = Endpoint::new();
+    let router = Router::start("onewake", &once(&endpoint));
+    let mut resting = Client::connect(&router);
+    resting.ask(1, "/alive", 0);
+    assert_eq!(resting.status(1), 200);
+    router.hold();
+    resting.ask(2, "page", 1);
+    router.signal("-TERM");
+    router.signal("-HUP");
+    router.go();
+    let asked = endpoint.asked();
+    // Again, and a config that is gone: neither ends it sooner.
+    router.signal("-TERM");
+    router.signal("-HUP");
+    router.waits_for("config read anew");
+    endpoint.serve(&asked);
+    assert_eq!(resting.status(2), 200);
+    assert_eq!(figure(&router.ends(), "served"), 1);
+}
+
+#[test]
+fn what_came_before_the_door_shut_is_served_and_what_is_read_after_is_sent_nowhere() {
+    let endpoint = Endpoint::new();
+    let router = Router::start("door", &once(&endpoint));
+    let (mut busy, mut resting) = (Client::connect(&router), Client::connect(&router));
+    busy.ask(1, "page", 1);
+    let first = endpoint.asked();
+    router.signal("-TERM");
+    router.waits_for("told to end");
+    // Its door is due to shut and a request is there, both before it looks.
+    router.hold();
+    pass(DOOR_MS);
+    resting.ask(1, "page", 2);
+    router.go();
+    let second = endpoint.asked();
+    assert_eq!(second.id, format!("{:016x}", 2), "it came in time");
+    door_shut(&router);
+    // On a connection that still awaits an answer more may come for as long as the client likes.
+    busy.ask(2, "page", 3);
+    assert_eq!(busy.status(2), 503, "refused: the process could end before its answer");
+    endpoint.serve(&first);
+    endpoint.serve(&second);
+    assert_eq!((busy.status(1), resting.status(1)), (200, 200));
+    router.ends();
+    assert_eq!(endpoint.ids(), [""; 0], "nothing more was sent");
+}
+
+#[test]
+fn clients_that_rest_are_closed_without_a_reset_and_what_crosses_the_close_is_read_away() {
+    let endpoint = Endpoint::new();
+    let mut router = Router::start("rests", &Site::new(&[("e-1", &endpoint)]));
+    let (mut resting, mut other) = (Client::connect(&router), Client::connect(&router));
+    for client in [&mut resting, &mut other] {
+        client.ask(1, "/alive", 0);
+        assert_eq!(client.status(1), 200);
+    }
+    router.signal("-TERM");
+    assert!(resting.closed(), "nobody waits for a client that rests");
+    // The request was on its way as the close was: it is neither reset nor sent on.
+    for at in 2..20 {
+        resting
+            .stream
+            .write_all(&Client::request(at, "page", u64::from(at), 0xab, &[1; 4096]))
+            .expect("no reset");
+    }
+    drop(resting);
+    assert!(other.closed());
+    drop(other);
+    until("its end", || router.ended());
+    assert_eq!(figure(&router.ends(), "taken"), 0);
+    assert_eq!(endpoint.ids(), [""; 0]);
+}
+
+#[test]
+fn a_request_that_is_half_there_at_the_end_is_answered_and_not_cut_off() {
+    let endpoint = Endpoint::new();
+    let router = Router::start("half", &Site::new(&[("e-1", &endpoint)]));
+    let mut slow = Client::connect(&router);
+    let bytes = Client::request(1, "page", 1, 0xab, b"body");
+    slow.stream.write_all(&bytes[..bytes.len() / 2]).expect("written");
+    router.signal("-TERM");
+    door_shut(&router);
+    slow.stream.write_all(&bytes[bytes.len() / 2..]).expect("written");
+    assert_eq!(slow.status(1), 503, "too late to be sent on, and told so");
+    router.ends();
+    assert_eq!(endpoint.ids(), [""; 0]);
+}
+
+#[test]
+fn it_ends_though_endpoints_hang_clients_send_without_reading_or_never_finish() {
+    let endpoint = Endpoint::new();
+    let mut site = once(&endpoint);
+    site.memory_mb = 48;
+    let router = Router::start("hangs", &site);
+    let mut waits = Client::connect(&router);
+    waits.ask(1, "page", 1);
+    endpoint.asked();
+    // Sends and doesn't read: answers of 240 KB until the router hears it no more.
+    let mut deaf = Client::connect(&router);
+    for at in 1..=20 {
+        deaf.stream.write_all(&Client::request(at, "page", 100 + u64::from(at), 0xab, b"")).expect("written");
+        let asked = endpoint.asked();
+        endpoint.reply(&asked, "DONE", "tell=cached,version=ab,stamp=1", &[b'x'; 240_000]);
+    }
+    let mut half = Client::connect(&router);
+    half.stream.write_all(&Client::request(1, "page", 2, 0xab, b"")[..40]).expect("written");
+    router.signal("-TERM");
+    let status = waits.status(1);
+    assert!(status == 502 || status == 503, "given up in time: {status}");
+    let log = router.ends();
+    assert_eq!(figure(&log, "panics"), 0, "{log}");
+    drop(deaf);
+}
+
+#[test]
+fn one_starts_beside_another_that_still_drains() {
+    let endpoint = Endpoint::new();
+    let old = Router::start("drains", &once(&endpoint));
+    let mut before = Client::connect(&old);
+    before.ask(1, "page", 1);
+    let held = endpoint.asked();
+    old.signal("-TERM");
+    door_shut(&old);
+    let mut site = once(&endpoint);
+    site.options = vec!["--listen".into(), old.address.clone()];
+    let new = Router::start("follows", &site);
+    assert_eq!(new.address, old.address);
+    let mut after = Client::connect(&new);
+    after.ask(1, "page", 2);
+    endpoint.serve(&endpoint.asked());
+    assert_eq!(after.status(1), 200);
+    endpoint.serve(&held);
+    assert_eq!(before.status(1), 200);
+    assert_eq!((figure(&old.ends(), "served"), figure(&new.end(), "served")), (1, 1));
+    assert!(endpoint.so_far().iter().all(|event| !matches!(event, Event::Down(_, true))), "no resets");
+}
