Hear all that a wake brings before anything is sent, tried again or dialled for a client

Cause: one wake of the loop may bring a failed attempt, a due timer and the leave of the client whose request it is. The sources were served links first, clients later (runtime/mod.rs enum Source), a queued attempt was dialled for at once (runtime/machines.rs queued), and the reducer ran due timers after any input (reducer/mod.rs step): so a retry or a hedged request was decided and dialled for a client whose abort, close or reset lay there unread. A burst over 64 KB was acted on before its close was read, and a client with 1 MB unread answers wasn't heard at all.

Change: what narrows is served first: board, operators, clients, then endpoints. Timers act on Input::Due alone, which comes last; dials start at the end of a turn; nothing is dialled anew where nobody waits; what is taken back before it was seen is never taken. 512 KB of a client are read before others' turn; one that doesn't read is turned away (OVERLOADED) yet heard, up to 2 MB.

--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -44,7 +44,8 @@
                 (in_all, *own) = (in_all - 1, *own - 1);
                 todo.push(Dialling::Close(dial));
             }
-            if link.retired {
+            // Nobody waits for it any more: what was begun may come up and rest, but nothing is dialled anew.
+            if link.retired || (link.open.is_empty() && link.trial.is_none()) {
                 continue;
             }
             let most = self.book.most_dials(now, &link.member);
--- a/src/front.rs
+++ b/src/front.rs
@@ -17,8 +17,11 @@
 const MAX_GROUP: u64 = 255;
 const MAX_SIZE_KB: f64 = 1e8;
 const MAX_TIMEOUT_MS: f64 = 1e6;
-/// With more than that unwritten, nothing more is read: a client that doesn't read isn't heard.
+/// With more than that unwritten, further requests are turned away at once: who doesn't read is served no more. It is
+/// heard all the same, as it may abort or leave.
 const MAX_UNWRITTEN: usize = 1 << 20;
+/// With more than that, nothing more is read of a client that goes on asking.
+const MAX_UNHEARD: usize = 2 * MAX_UNWRITTEN;
 
 /// A connection's first request is whole by then, and each other one so long after its beginning.
 const WHOLE_MS: Millis = 2000.0;
@@ -210,7 +213,7 @@
             self.push(0, fastcgi::end(request, status::UNKNOWN_ROLE));
             return Ok(None);
         }
-        if self.open.len() >= MAX_OPEN {
+        if self.open.len() >= MAX_OPEN || self.unwritten >= MAX_UNWRITTEN {
             self.push(0, fastcgi::end(request, status::OVERLOADED));
             return Ok(None);
         }
@@ -367,7 +370,7 @@
 
     /// Whether it may be read from.
     pub fn listens(&self) -> bool {
-        self.unwritten < MAX_UNWRITTEN
+        self.unwritten < MAX_UNHEARD
     }
 
     /// Whether it has done what its client wanted of it, and is to be closed.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -262,7 +262,7 @@
                 self.events.push_back(Event::Probed { cache: member, outcome, report });
             }
             Input::Notice { notice, unix_ms } => self.notice(now, notice, unix_ms),
-            Input::Due => {}
+            Input::Due => self.pass(now),
             Input::Terminate => self.terminate(now),
             Input::DoorShut => self.service.shut(),
             Input::HandedOver { excluded, unix_ms } => self.handed_over(now, excluded, unix_ms),
@@ -271,11 +271,6 @@
             Input::Operator { caller, call } => self.operator(now, caller, call),
         }
         self.settle(now);
-        while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 as f64 / 1000.0 <= now) {
-            let due = entry.remove();
-            self.due(now, due);
-            self.settle(now);
-        }
         if let Some(plugins) = &mut self.plugins {
             plugins.tick(now);
             self.effects.extend(plugins.take_lines().into_iter().map(Effect::Log));
@@ -283,6 +278,16 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Does what is due. Only [`Input::Due`] does, which comes after all that a wake has brought: a timer never acts on
+    /// a client, a machine or an answer of which the news is there, unread.
+    fn pass(&mut self, now: Millis) {
+        while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 as f64 / 1000.0 <= now) {
+            let due = entry.remove();
+            self.due(now, due);
+            self.settle(now);
+        }
+    }
+
     fn at(&mut self, when: Millis, due: Due) {
         self.next_due += 1;
         self.dues.insert(((when.max(0.0) * 1000.0).ceil() as u64, self.next_due), due);
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -11,8 +11,9 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 
-/// Bytes read from one client before others have their turn: requests are small.
-const READ_AT_ONCE: usize = 64 * 1024;
+/// Bytes read from one client before others have their turn. What it has sent is heard to its end where that can be: it
+/// may be that it has left.
+const READ_AT_ONCE: usize = 512 * 1024;
 /// Connections accepted before others have their turn.
 const ACCEPT_AT_ONCE: usize = 64;
 /// How long to wait before accepting again when there is no descriptor for another connection.
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -26,7 +26,7 @@
     /// Queues an attempt.
     pub(super) fn send(&mut self, attempt: AttemptKey, member: &CacheId, call: &Call) {
         match self.links.send(self.now(), attempt, member, call) {
-            Ok((key, new)) => self.queued(key, new),
+            Ok((key, _)) => self.queued(key),
             Err(Unsent::NoRoom) => self.inbox.push(Input::Ended { attempt, end: End::NoRoom }),
             Err(Unsent::NoPath) => {
                 say!({ machine = %member, attempt } "no address of {member} is its own now");
@@ -35,12 +35,10 @@
         }
     }
 
-    /// Something is queued for a machine: dials if the connection is new.
-    pub(super) fn queued(&mut self, key: LinkKey, new: bool) {
+    /// Something is queued for a machine. It leaves, and is dialled for, once all that the wake has brought is heard:
+    /// its client may have left, or its machine.
+    pub(super) fn queued(&mut self, key: LinkKey) {
         self.dirty.insert(Source::Link(key));
-        if new {
-            self.dial_due();
-        }
     }
 
     /// Dials and closes dials as the races ask for it, until none is due.
@@ -138,7 +136,7 @@
         let now = self.now();
         let (left, moved) = self.links.mute(now);
         left.iter().for_each(say_left);
-        moved.into_iter().for_each(|key| self.queued(key, true));
+        moved.into_iter().for_each(|key| self.queued(key));
         self.dial_due();
         for (key, why) in self.links.expired(now) {
             self.link_down(key, why);
@@ -258,7 +256,7 @@
             self.inbox.push(Input::Ended { attempt, end: End::Lost(progress) });
         }
         ended.probes.into_iter().for_each(|member| self.probe_failed(member));
-        ended.moved.into_iter().for_each(|to| self.queued(to, true));
+        ended.moved.into_iter().for_each(|to| self.queued(to));
     }
 }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -42,18 +42,21 @@
 /// Longest sleep of the loop.
 const IDLE_MS: Millis = SWEEP_MS;
 
-/// What a readiness is of.
+/// What a readiness is of, in the order in which one wake's are served.
+///
+/// What narrows comes before what acts: a drain or a purge, then which clients have left, then how attempts have ended.
+/// So nothing that one wake brings together is sent on, tried again or dialled for a client that has left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Source {
-    /// A machine's connection. These go first: one that has closed is known before it is used.
-    Link(LinkKey),
-    /// A dial that isn't a connection yet.
-    Dial(DialKey),
     Board,
-    /// Operators first: they are answered however busy it is.
+    /// Operators are answered however busy it is.
     Caller(u64),
     Callers,
     Front(u64),
+    /// A machine's connection: read before it is written to, so that one that has closed is known before it is used.
+    Link(LinkKey),
+    /// A dial that isn't a connection yet.
+    Dial(DialKey),
     Listener,
     /// Last: a flood there holds up no request.
     Fleet,
@@ -65,12 +68,26 @@
 
 impl Inbox {
     /// Adds an input. How far an attempt has come goes before all else that waits: one that is given up by
-    /// another input must not pass for unsent when it has left.
+    /// another input must not pass for unsent when it has left. And whoever has left takes back what waits of theirs,
+    /// which nobody has seen yet: it is not taken, so that nothing is sent or dialled for it.
     pub fn push(&mut self, input: Input) {
         match input {
-            Input::Progressed { .. } => self.0.push_front(input),
-            _ => self.0.push_back(input),
+            Input::Progressed { .. } => return self.0.push_front(input),
+            Input::Closed { conn } => {
+                self.0.retain(|other| {
+                    !matches!(other, Input::Asked { client, .. } | Input::Health { client } if client.conn == conn)
+                });
+            }
+            Input::Aborted { client: gone } => {
+                let same = |other: &Input| matches!(other, Input::Asked { client, .. } if *client == gone);
+                if let Some(at) = self.0.iter().position(same) {
+                    self.0.remove(at);
+                    return;
+                }
+            }
+            _ => {}
         }
+        self.0.push_back(input);
     }
 
     /// Takes the next one.
@@ -410,7 +427,7 @@
                 }
             }
             Effect::Probe { member } => match self.links.probe(now, &member) {
-                Ok((key, new)) => self.queued(key, new),
+                Ok((key, _)) => self.queued(key),
                 Err(_) => self.probe_failed(member),
             },
             Effect::Listed { member, listing: Some(listing) } => self.links.list(&member, listing),
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -189,6 +189,25 @@
     assert_eq!((rig.reducer.open(), rig.reducer.counters.aborted), (0, 2));
 }
 
+#[test]
+fn a_timer_acts_only_once_all_that_came_with_it_is_heard() {
+    let mut rig = Rig::new();
+    let (attempt, _) = sent(&rig.ask("read", 2000.0));
+    rig.step(Input::Progressed { attempt, progress: Progress::WrittenWhole });
+    // Its time is up, and so is that of its attempt; another client is heard first.
+    rig.now += 3000.0;
+    let other = Client { conn: 2, serial: 1 };
+    let answered = Effect::Answer { client: other, reply: Reply::Health(true) };
+    assert_eq!(rig.step(Input::Health { client: other }), [answered], "and nothing else");
+    let stopped = rig.step(Input::Aborted { client: rig.client() });
+    assert_eq!(stopped, [Effect::Stop { attempt }], "not answered, not tried again");
+    assert!(rig.step(Input::Due).iter().all(|effect| matches!(effect, Effect::Log(_))));
+    // And one that has its answer in that wake is served.
+    let (attempt, _) = sent(&rig.ask("read", 2000.0));
+    rig.now += 3000.0;
+    assert!(matches!(replies(&rig.answered(attempt, Outcome::Ok, 5, false))[..], [Reply::Served(_)]));
+}
+
 #[test]
 fn what_waits_in_a_queue_is_pulled_when_its_machine_or_source_leaves() {
     for source in [false, true] {
