Hold a repeat's window where its bytes leave, not only where it is decided

Change: may_send_again gives the time that is left; it goes along as Fetch::within_ms and Call::leave_by; the reducer pulls what has not left by then, and Links::overdue takes the frame back before its first byte is written, also after it has moved to another connection.

Ruled out: the number of attempts and the scope of a repeat, which were right.

--- a/src/api.rs
+++ b/src/api.rs
@@ -567,6 +567,8 @@
     pub max_age_ms: Option<Millis>,
     /// Whether the copy is kept.
     pub keep: Keep,
+    /// Its first byte leaves within this, or it is not sent: a repeat's window would be over. `None`: no such bound.
+    pub within_ms: Option<Millis>,
 }
 
 /// What a router asks for.
--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -113,7 +113,13 @@
             let bytes = resp::frame(&[b"HELO", tag.as_bytes()]);
             let progress = Progress::NotConnected;
             link.open.insert(tag.clone(), Open { what: What::Greeting, progress, alone: false });
-            link.out.push_front(Frame { bytes, opens: Some(tag), alone: false, moves: 0 });
+            link.out.push_front(Frame {
+                bytes,
+                opens: Some(tag),
+                alone: false,
+                moves: 0,
+                leave_by: f64::INFINITY,
+            });
             link.greeting = Some(now + wait);
         }
         let mut todo = Vec::new();
--- a/src/back/link.rs
+++ b/src/back/link.rs
@@ -25,6 +25,8 @@
     pub(super) alone: bool,
     /// How often it has moved on from a connection that closed.
     pub(super) moves: u8,
+    /// Its first byte leaves by then, or it isn't sent.
+    pub(super) leave_by: Millis,
 }
 
 #[derive(Debug)]
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -202,7 +202,13 @@
         call: &Call,
     ) -> Result<(LinkKey, bool), Unsent> {
         let id = call.ask.id.clone();
-        let frame = Frame { bytes: request(call), opens: Some(id), alone: call.alone, moves: 0 };
+        let frame = Frame {
+            bytes: request(call),
+            opens: Some(id),
+            alone: call.alone,
+            moves: 0,
+            leave_by: call.leave_by,
+        };
         self.queue(now, What::Attempt(attempt), member, frame, true)
     }
 
@@ -211,7 +217,7 @@
         self.next_probe += 1;
         let tag = format!("probe{}", self.next_probe);
         let bytes = resp::frame(&[b"STAT", tag.as_bytes()]);
-        let frame = Frame { bytes, opens: Some(tag), alone: false, moves: 0 };
+        let frame = Frame { bytes, opens: Some(tag), alone: false, moves: 0, leave_by: f64::INFINITY };
         self.queue(now, What::Probe, member, frame, true)
     }
 
@@ -284,7 +290,7 @@
             link.out.retain(|frame| frame.opens.as_ref() != Some(&id));
         } else {
             let bytes = resp::frame(&[b"STOP", id.as_bytes()]);
-            link.out.push_back(Frame { bytes, opens: None, alone: false, moves: 0 });
+            link.out.push_back(Frame { bytes, opens: None, alone: false, moves: 0, leave_by: f64::INFINITY });
             link.over(id);
         }
         link.idle = now;
@@ -303,6 +309,21 @@
         self.links.get(&key).is_some_and(|link| !sent(link))
     }
 
+    /// Takes the next frame back if its time to leave is over and no byte of it has left: the attempt that it was of.
+    pub fn overdue(&mut self, now: Millis, key: LinkKey) -> Option<AttemptKey> {
+        let link = self.links.get_mut(&key).filter(|link| link.up.is_some() && link.written == 0)?;
+        let id = link.out.front().filter(|frame| frame.leave_by < now)?.opens.clone()?;
+        link.out.pop_front();
+        link.idle = now;
+        match link.open.remove(&id)?.what {
+            What::Attempt(attempt) => {
+                self.on.remove(&attempt);
+                Some(attempt)
+            }
+            What::Probe | What::Greeting => None, // They are never overdue.
+        }
+    }
+
     /// The next bytes to write.
     pub fn output(&self, key: LinkKey) -> Option<&[u8]> {
         let link = self.links.get(&key).filter(|link| link.up.is_some())?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,8 +21,7 @@
 /// The forecast's step, and the time between looks at slow attempts: well under a client's patience.
 const SECOND_MS: Millis = 1000.0;
 const TICK_MS: Millis = 50.0;
-/// Share of failures that ejects: half the answers cost a further attempt. Three in a row make it, not two.
-const EJECT_SHARE: f64 = 0.5;
+const EJECT_SHARE: f64 = 0.5; // Share of failures that ejects. Three in a row make it, not two.
 const HEALTH_GAIN: f64 = 0.22;
 const TURNED: u32 = 5; // Requests turned away in a row from which that counts as failing.
 /// First wait before an ejected machine gets a single trial; doubled by each failed one up to the last.
@@ -34,8 +33,7 @@
 const PATIENCE: f64 = 1.5; // An attempt gets at least this multiple of what it is expected to take.
 /// Usual gaps between a machine's answers here after which it is silent: by chance that is one in 400.
 const SILENT_GAPS: f64 = 6.0;
-/// The gap assumed at first, long: a transfer called off in error costs more than a late find.
-const GAP_START_MS: Millis = 2000.0;
+const GAP_START_MS: Millis = 2000.0; // Long at first: a call-off in error costs more than a late find.
 const MISS_START: [f64; 2] = [0.9, 0.2]; // Shares of first-seen and seen pieces that need a fill, at first.
 const LINK_FULL: f64 = 1.5; // The location's link is full when a mean fill is slowed to this multiple.
 /// Share of fills that fail above which old copies beat the wait for one, and above which fills are dear.
@@ -52,8 +50,7 @@
 /// Share of busy cores reported above which a few transfers that come together aren't put down to chance.
 const BUSY: f64 = 0.95;
 const BEARS_FADE: f64 = 0.99; // What machines have borne fades by this a second: they may come back cold.
-/// Part of the cold-start budget that is spent: the estimate of capacity and chance need the rest.
-const COLD_SPEND: f64 = 0.6;
+const COLD_SPEND: f64 = 0.6; // Part of the cold-start budget that is spent: chance needs the rest.
 const PURGE_SLACK_MS: Millis = 2.0; // How much younger than a purge a copy must be: clocks and rounding.
 /// Second copies that a request earns, and the most saved up: where more is slow, it is load.
 const COPIES: [f64; 2] = [0.02, 10.0];
@@ -589,7 +586,8 @@
         // Overload: what can't be done within its aim is worth little and slows all others.
         let too_late = own * crowd > aim_left.max(class.aim_ms) && crowd > CROWDED;
         let nowhere = (look || held_only) && missed;
-        if hopeless || too_late || nowhere || !self.may_send_again(now, pending, cache) {
+        let within = self.may_send_again(now, pending, cache)?;
+        if hopeless || too_late || nowhere {
             return None;
         }
         let patience = (aim_left - expected).max(PATIENCE * (ttfb + own * crowd));
@@ -609,6 +607,7 @@
             source: self.nodes[source].entry.cache.clone(),
             max_age_ms: asked.oldest(self.max_age(now, pending, class)),
             keep: asked.keep(keep),
+            within_ms: Some(within).filter(|ms| ms.is_finite()),
         };
         let (sent, outcome, blamed, check) = (now, None, None, if again { patience } else { f64::INFINITY });
         Some((fetch, Attempt { cache, source, sent, check, fill, outcome, blamed }))
@@ -784,26 +783,26 @@
         may && quick && usual && self.nodes[cache].learned.done.iter().filter(later).count() > 2
     }
 
-    /// The one place that decides whether a request may go out again, to this cache.
-    fn may_send_again(&self, now: Millis, pending: &Pending, cache: NodeAt) -> bool {
+    /// The one place that decides whether a request may go out again, to this cache, and within which time.
+    fn may_send_again(&self, now: Millis, pending: &Pending, cache: NodeAt) -> Option<Millis> {
         let out = pending.attempts.iter().filter(|attempt| attempt.outcome.is_none()).count();
-        if out > usize::from(pending.copied) {
-            return false; // Never two at once, but for one copy where that is allowed.
-        }
-        let Some(class) = self.settings.classes.get(pending.asked.class) else { return false };
-        pending.attempts.iter().filter(|a| may_have_run(a)).all(|ran| match class.repeat {
-            Repeat::Retryable => true,
-            Repeat::Fragile => false,
+        let class = self.settings.classes.get(pending.asked.class)?;
+        let left = pending.attempts.iter().filter(|a| may_have_run(a)).map(|ran| match class.repeat {
+            Repeat::Retryable => f64::INFINITY,
+            Repeat::Fragile => 0.0,
             Repeat::Dedup { scope, window_ms } => {
-                let (a, b) = (&self.nodes[ran.cache], &self.nodes[cache]);
+                let (a, b) = (&self.nodes[ran.cache].entry, &self.nodes[cache].entry);
                 let same = match scope {
                     DedupScope::All => true,
-                    DedupScope::Zone => a.entry.zone == b.entry.zone,
-                    DedupScope::Cell => a.entry.cell == b.entry.cell,
+                    DedupScope::Zone => a.zone == b.zone,
+                    DedupScope::Cell => a.cell == b.cell,
                 };
-                same && now - ran.sent < window_ms
+                f64::from(u8::from(same)) * (ran.sent + window_ms - now)
             }
-        })
+        });
+        // Never two at once, but for one copy where that is allowed.
+        let left = left.fold(f64::INFINITY, f64::min);
+        Some(left).filter(|left| *left > 0.0 && out <= usize::from(pending.copied))
     }
 
     /// Answers a request that nothing can help any more, at once: refused where a retry is harmless.
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -163,8 +163,9 @@
         if fetch.timeout_ms > 0.0 {
             self.at(now + fetch.timeout_ms, Due::Limit(key));
         }
-        self.at(now + UNSENT_MS, Due::Unsent(key));
-        let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone });
+        let leave_by = now + fetch.within_ms.unwrap_or(UNSENT_MS).min(UNSENT_MS);
+        self.at(leave_by, Due::Unsent(key));
+        let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone, leave_by });
         if self.plugins.is_some() {
             self.watch.sent(&member);
         }
@@ -249,6 +250,10 @@
             }
             End::Lost(_) => return self.end(now, key, Outcome::Reset, None, false),
             End::NoRoom => return self.end(now, key, Outcome::Moot, None, false),
+            End::Overdue => {
+                self.counters.attempt_pulled += 1;
+                return self.end(now, key, Outcome::Moot, None, false);
+            }
             End::Answer(answer) => answer,
         };
         let Some(held) = self.held.get(&client) else { return };
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -61,6 +61,8 @@
     pub fetch: Fetch,
     /// It must not be repeated, so that it had better share nothing with others that could break.
     pub alone: bool,
+    /// Its first byte leaves by then, on the clock of the reducer's inputs, or it isn't sent.
+    pub leave_by: Millis,
 }
 
 /// What a machine answered.
@@ -89,6 +91,8 @@
     Lost(Progress),
     /// It was not sent, as there was no room for another connection: that says nothing about its machine.
     NoRoom,
+    /// It was not sent, as its time to leave was over when its turn came: that says nothing about its machine.
+    Overdue,
 }
 
 /// What the reducer is told.
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -207,7 +207,13 @@
     pub(super) fn write_link(&mut self, key: LinkKey) -> Option<&'static str> {
         let now = self.now();
         let sock = self.link_socks.get_mut(&key)?;
-        while let Some(bytes) = self.links.output(key).filter(|_| sock.writable) {
+        loop {
+            // The last point where it can be stopped: what is overdue by now doesn't begin to leave.
+            if let Some(attempt) = self.links.overdue(now, key) {
+                self.inbox.push(Input::Ended { attempt, end: End::Overdue });
+                continue;
+            }
+            let Some(bytes) = self.links.output(key).filter(|_| sock.writable) else { break };
             match sock.write(bytes) {
                 Ok(bytes) => {
                     if let Some((attempt, progress)) = self.links.wrote(now, key, bytes) {
--- a/tests/addresses.rs
+++ b/tests/addresses.rs
@@ -265,8 +265,9 @@
         source: "a".into(),
         max_age_ms: None,
         keep: frostturn::api::Keep::No,
+        within_ms: None,
     };
-    Call { ask: ask.into(), fetch, alone }
+    Call { ask: ask.into(), fetch, alone, leave_by: f64::INFINITY }
 }
 
 fn links() -> (Links, CacheId) {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -414,8 +414,9 @@
         source: "p".into(),
         max_age_ms: Some(15.9),
         keep: Keep::Middle,
+        within_ms: None,
     };
-    Call { ask: ask.into(), fetch, alone: false }
+    Call { ask: ask.into(), fetch, alone: false, leave_by: f64::INFINITY }
 }
 
 fn reply(id: &str, word: &str) -> Vec<u8> {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -461,6 +461,11 @@
         Self { address: listener.local_addr().expect("bound").to_string(), listener }
     }
 
+    /// One that comes back at an address.
+    pub fn at(address: &str) -> Self {
+        Self { address: address.to_owned(), listener: TcpListener::bind(address).expect("the port is free") }
+    }
+
     /// The next poll on a new connection.
     pub fn poll(&self) -> Poll {
         let (stream, _) = self.listener.accept().expect("it polls");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -94,8 +94,10 @@
 fn keyed_requests_are_resent_only_within_their_window() {
     let mut driver = Driver::usual();
     let first = fetch(&driver.ask(KEYED, "bid"));
+    assert_eq!(first.within_ms, None, "a first attempt may leave when it can");
     driver.now += 500.0;
     let second = fetch(&driver.end(&first, 0, Outcome::Error, None));
+    assert_eq!(second.within_ms, Some(500.0), "what is left of the window when it is decided");
     driver.now += 600.0;
     assert!(refused(&driver.end(&second, 1, Outcome::Error, None)));
 }
@@ -427,6 +429,7 @@
         source: "nowhere".into(),
         max_age_ms: None,
         keep: Keep::No,
+        within_ms: None,
     };
     assert!(driver.end(&ghost, 3, Outcome::Ok, None).is_empty());
     let mut nobody = Driver::new(settings(), Vec::new());
