Keep the watch going on whatever answers bring, and bind what waits when a purge comes

Failed polls of hundreds of routers came in step.

Change: what can't be read of an entry is taken as that it leaves, a purge without time as one of now, each with a line; doubles are one; a last number below ours has all asked for, and changes that come with a whole list are one list; stray bytes end the connection. A purge pulls what hasn't begun to leave, so that it is decided anew. Waits after failures are drawn by seed.

Two silent watches in a row are over before 6 s; what the board says counts as told at 7 s.

--- a/src/board.rs
+++ b/src/board.rs
@@ -1,16 +1,26 @@
-//! The notice board: its events, in order, by long polls over HTTP/1.1. Pure; bytes in, notices out.
+//! The discovery watch: the notice board's events, in order, by long polls over HTTP/1.1. Pure; bytes in, notices out.
+//!
+//! What the board says counts as told 7 s later whether it has come or not, and a drain or a purge binds from then. So a
+//! silence has a deadline short enough for two in a row ([`LINGER_MS`], [`POLL_SLACK_MS`]), and whatever an answer
+//! brings, the watch goes on: what can't be read is taken in the sense that allows least, and nothing else waits for it.
 
 use crate::api::{MachineKind, Millis, Phase, Zone};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::net::SocketAddr;
+use twox_hash::XxHash64;
 
 /// How long the board may hold a poll back. Short, as a broken poll is noticed only once this is over.
 pub const LINGER_MS: Millis = 2000.0;
 /// Beyond that, a poll that hasn't been answered is broken.
 pub const POLL_SLACK_MS: Millis = 700.0;
-/// First and last wait after a failed poll. The first failure is followed up at once.
+/// First and last wait after a failed poll, less up to a half that each router draws. The first failure is followed up
+/// at once.
 const BACKOFF_MS: [Millis; 2] = [20.0, 500.0];
+/// Routers that are told of another board at the same moment ask it within this.
+const SPREAD_MS: Millis = 100.0;
+/// Doubts about one answer that are told.
+const MAX_DOUBTS: usize = 4;
 /// Bytes of one answer, at most.
 const MAX_ANSWER: usize = 8 << 20;
 /// Times that the same gap is asked for again before all is asked for anew.
@@ -67,49 +77,78 @@
     pub word: Option<Word>,
 }
 
-/// Reads `{"rev":LAST,"notices":[...]}`.
+/// Reads `{"rev":LAST,"notices":[...]}`, all of it or nothing.
 pub fn notices(value: &OwnedValue) -> Result<(u64, Vec<Notice>), String> {
+    let mut doubts = Vec::new();
+    let read = lenient(value, &mut doubts)?;
+    match doubts.into_iter().next() {
+        None => Ok(read),
+        Some(doubt) => Err(doubt),
+    }
+}
+
+/// The same, but what can't be read of one notice is taken in the sense that allows least, and told as a doubt.
+fn lenient(value: &OwnedValue, doubts: &mut Vec<String>) -> Result<(u64, Vec<Notice>), String> {
     let rev = value.get_u64("rev").ok_or("rev is missing")?;
     let list = value.get_array("notices").ok_or("notices are missing")?;
-    Ok((rev, list.iter().map(notice).collect::<Result<_, _>>()?))
+    Ok((rev, list.iter().map(|one| notice(one, doubts)).collect::<Result<_, _>>()?))
 }
 
-fn notice(value: &OwnedValue) -> Result<Notice, String> {
+fn notice(value: &OwnedValue, doubts: &mut Vec<String>) -> Result<Notice, String> {
     let rev = value.get_u64("rev").ok_or("a notice has no rev")?;
     let word = if let Some(pool) = value.get("pool") {
-        let machines = pool.get_array("endpoints").ok_or("a pool has no endpoints")?;
-        let machines = machines.iter().map(listed).collect::<Result<_, _>>()?;
-        Some(Word::Pool { whole: pool.get_bool("snapshot").unwrap_or(false), machines })
+        let endpoints = pool.get_array("endpoints").map(Vec::as_slice);
+        if endpoints.is_none() {
+            doubts.push("a pool has no endpoints".to_owned());
+        }
+        endpoints.map(|endpoints| Word::Pool {
+            whole: pool.get_bool("snapshot").unwrap_or(false),
+            machines: endpoints.iter().filter_map(|one| listed(one, doubts)).collect(),
+        })
     } else if let Some(flush) = value.get("flush") {
-        let made_unix_ms = flush.get("ms").and_then(|ms| ms.cast_f64()).ok_or("a flush has no ms")?;
+        let made = flush.get("ms").and_then(|ms| ms.cast_f64());
+        if made.is_none() {
+            doubts.push("a flush has no ms".to_owned());
+        }
         let object = flush.get_str("asset").map(str::to_owned);
         let group = flush.get("collection").and_then(|group| group.cast_f64()).map(|group| group as u64);
         if object.is_none() && group.is_none() {
-            return Err("a flush names nothing".to_owned());
+            doubts.push("a flush names nothing".to_owned());
+            None
+        } else {
+            // Without its time it is one of now: later than any that it may mean.
+            let made_unix_ms = made.unwrap_or(f64::INFINITY);
+            Some(Word::Purge { object, group: group.unwrap_or(0), made_unix_ms })
         }
-        Some(Word::Purge { object, group: group.unwrap_or(0), made_unix_ms })
     } else {
         None
     };
     Ok(Notice { rev, word })
 }
 
-fn listed(value: &OwnedValue) -> Result<Listed, String> {
-    let name = value.get_str("name").ok_or("an endpoint has no name")?;
-    let phase = match value.get_str("status") {
+/// An endpoint; `None`: nobody can say of which. One of which only the name can be read gets nothing more: it leaves.
+fn listed(value: &OwnedValue, doubts: &mut Vec<String>) -> Option<Listed> {
+    let Some(name) = value.get_str("name") else {
+        doubts.push("an endpoint has no name".to_owned());
+        return None;
+    };
+    let mut phase = match value.get_str("status") {
         Some("active") => Phase::Serving,
         Some("leaving") => Phase::Draining,
         Some("left") => Phase::Deleted,
-        other => return Err(format!("{name} has the status {other:?}")),
+        other => {
+            doubts.push(format!("{name} has the status {other:?}"));
+            Phase::Draining
+        }
     };
     let address = value.get_str("address").and_then(|text| text.parse().ok());
-    Ok(Listed {
+    if address.is_none() && phase != Phase::Deleted {
+        doubts.push(format!("{name} has no address"));
+        phase = Phase::Draining;
+    }
+    Some(Listed {
         name: name.to_owned(),
-        address: match (address, phase) {
-            (Some(address), _) => address,
-            (None, Phase::Deleted) => SocketAddr::from(([127, 0, 0, 1], 0)),
-            (None, _) => return Err(format!("{name} has no address")),
-        },
+        address: address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
         zone: value.get_str("zone").unwrap_or_default().into(),
         kind: value.get_str("type").unwrap_or_default().into(),
         cell: value.get("group").and_then(|cell| cell.cast_f64()).unwrap_or(0.0) as u64,
@@ -127,8 +166,9 @@
     Close,
 }
 
-/// Reads one HTTP answer; `eof` says that nothing more will come. The body, once it is whole.
-fn answer(bytes: &[u8], eof: bool) -> Result<Option<Vec<u8>>, String> {
+/// Reads one HTTP answer; `eof` says that nothing more will come. The body, once it is whole, and how many bytes the
+/// answer had.
+fn answer(bytes: &[u8], eof: bool) -> Result<Option<(Vec<u8>, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes).map_err(|e| format!("unreadable answer: {e}"))? {
@@ -149,13 +189,14 @@
     }
     let rest = &bytes[start..];
     match framing {
-        Framing::Length(length) => Ok(rest.get(..length).map(<[u8]>::to_vec)),
-        Framing::Close => Ok(eof.then(|| rest.to_vec())),
-        Framing::Chunked => chunks(rest),
+        Framing::Length(length) => Ok(rest.get(..length).map(|body| (body.to_vec(), start + length))),
+        Framing::Close => Ok(eof.then(|| (rest.to_vec(), bytes.len()))),
+        Framing::Chunked => Ok(chunks(rest)?.map(|(body, after)| (body, bytes.len() - after))),
     }
 }
 
-fn chunks(mut rest: &[u8]) -> Result<Option<Vec<u8>>, String> {
+/// The body, once it is whole, and how many bytes are left behind it.
+fn chunks(mut rest: &[u8]) -> Result<Option<(Vec<u8>, usize)>, String> {
     let mut body = Vec::new();
     loop {
         let parsed = httparse::parse_chunk_size(rest).map_err(|_| "an unreadable chunk".to_owned())?;
@@ -166,7 +207,8 @@
         let Some((chunk, after)) = rest[start..].split_at_checked(size as usize) else { return Ok(None) };
         if size == 0 {
             // Its empty line belongs to it: left over, it would stand before the next answer.
-            return Ok(rest[start..].starts_with(b"\r\n").then_some(body));
+            let left = rest[start..].strip_prefix(b"\r\n");
+            return Ok(left.map(|left| (body, left.len())));
         }
         body.extend_from_slice(chunk);
         match after.strip_prefix(b"\r\n") {
@@ -177,10 +219,22 @@
     }
 }
 
+/// What an answer has brought.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// The new events, in order.
+    pub notices: Vec<Notice>,
+    /// What of them can't be read, some of it.
+    pub doubts: Vec<String>,
+    /// More has come than was asked for: nobody knows what the next bytes on this connection would answer.
+    pub stray: bool,
+}
+
 /// Follows the board: what to ask, what an answer holds that is new, when to ask again.
 #[derive(Debug)]
 pub struct Follower {
     last: u64,
+    seed: u64,
     bytes: Vec<u8>,
     failures: u32,
     gaps: u32,
@@ -190,9 +244,9 @@
 }
 
 impl Follower {
-    /// Follows from the last event that is known.
-    pub fn new(last: u64) -> Self {
-        Self { last, bytes: Vec::new(), failures: 0, gaps: 0, polled: None, due: 0.0 }
+    /// Follows from the last event that is known; `seed` has routers come apart.
+    pub fn new(last: u64, seed: u64) -> Self {
+        Self { last, seed, bytes: Vec::new(), failures: 0, gaps: 0, polled: None, due: 0.0 }
     }
 
     /// The request for what has come after the last event, to be written whole on a connection of its own
@@ -212,26 +266,35 @@
     }
 
     /// Takes bytes in; the new events, once the answer is whole.
-    pub fn feed(&mut self, now: Millis, bytes: &[u8], eof: bool) -> Result<Option<Vec<Notice>>, String> {
+    pub fn feed(&mut self, now: Millis, bytes: &[u8], eof: bool) -> Result<Option<News>, String> {
         self.bytes.extend_from_slice(bytes);
         if self.bytes.len() > MAX_ANSWER {
             return Err("an answer is too long".to_owned());
         }
-        let Some(mut body) = answer(&self.bytes, eof)? else { return Ok(None) };
+        let Some((mut body, used)) = answer(&self.bytes, eof)? else { return Ok(None) };
+        let stray = self.bytes.len() > used;
         self.bytes.clear();
         self.polled = None;
         let value = simd_json::to_owned_value(&mut body).map_err(|e| format!("not JSON: {e}"))?;
-        let (_, list) = notices(&value)?;
-        let news = self.in_order(list)?;
+        let mut doubts = Vec::new();
+        let (rev, list) = lenient(&value, &mut doubts)?;
+        doubts.truncate(MAX_DOUBTS);
+        let notices = self.in_order(rev, list)?;
         (self.failures, self.gaps, self.due) = (0, 0, now);
-        Ok(Some(news))
+        Ok(Some(News { notices, doubts, stray }))
     }
 
     /// Events that follow the last one without a gap. One with the whole list may close a gap.
-    fn in_order(&mut self, mut list: Vec<Notice>) -> Result<Vec<Notice>, String> {
+    fn in_order(&mut self, rev: u64, mut list: Vec<Notice>) -> Result<Vec<Notice>, String> {
         list.sort_by_key(|notice| notice.rev);
+        list.dedup_by_key(|notice| notice.rev);
+        if list.last().map_or(rev, |notice| rev.max(notice.rev)) < self.last {
+            // Its numbers begin anew, or this is an old answer: in doubt all is heard once more.
+            self.last = 0;
+            return Ok(Vec::new());
+        }
         list.retain(|notice| notice.rev > self.last);
-        let mut expected = self.last;
+        let (anew, mut expected) = (self.last == 0, self.last);
         for notice in &list {
             expected += 1;
             let whole = matches!(notice.word, Some(Word::Pool { whole: true, .. }));
@@ -246,14 +309,14 @@
             expected = notice.rev;
         }
         self.last = expected;
-        Ok(list)
+        Ok(if anew { as_one(list) } else { list })
     }
 
-    /// The board is at another address: a poll that is out is forgotten, and the new one is asked at once for
-    /// what follows the last whole event.
+    /// The board is at another address: a poll that is out is forgotten, and the new one is asked soon for what
+    /// follows the last whole event.
     pub fn moved(&mut self, now: Millis) {
         self.failures = 0;
-        self.due = now;
+        self.due = now + SPREAD_MS * self.chance();
         self.bytes.clear();
         self.polled = None;
     }
@@ -262,9 +325,45 @@
     pub fn failed(&mut self, now: Millis) {
         let [first, most] = BACKOFF_MS;
         let wait = if self.failures == 0 { 0.0 } else { first * 2.0_f64.powi(self.failures.min(10) as i32) };
-        self.due = now + wait.min(most);
+        self.due = now + wait.min(most) * (1.0 - 0.5 * self.chance());
         self.failures += 1;
         self.bytes.clear();
         self.polled = None;
     }
+
+    /// Of this router's own, and another one each time.
+    fn chance(&self) -> f64 {
+        let turn = u64::from(self.failures).to_le_bytes();
+        XxHash64::oneshot(self.seed, &turn) as f64 / u64::MAX as f64
+    }
+}
+
+/// Changes that come with the whole list before them are one list: what was so in between is over, and nobody is to act
+/// on it, say by closing the connections to an endpoint that is back by now.
+fn as_one(list: Vec<Notice>) -> Vec<Notice> {
+    let mut merged: Vec<Notice> = Vec::with_capacity(list.len());
+    let mut into = None;
+    for notice in list {
+        match (notice.word, into) {
+            (Some(Word::Pool { whole: false, machines }), Some(at)) => {
+                let Some(Notice { word: Some(Word::Pool { machines: all, .. }), .. }) = merged.get_mut(at)
+                else {
+                    continue;
+                };
+                for machine in machines {
+                    all.retain(|other: &Listed| other.name != machine.name);
+                    all.push(machine);
+                }
+            }
+            (word, _) => {
+                into = if matches!(word, Some(Word::Pool { whole: true, .. })) {
+                    Some(merged.len())
+                } else {
+                    into
+                };
+                merged.push(Notice { rev: notice.rev, word });
+            }
+        }
+    }
+    merged
 }
--- a/src/reducer/machines.rs
+++ b/src/reducer/machines.rs
@@ -8,9 +8,19 @@
             None => {}
             Some(Word::Purge { object, group, made_unix_ms }) => {
                 self.counters.purges += 1;
-                let object = object.as_deref().map(ObjectId::from);
+                let named = object.as_deref().map(ObjectId::from);
                 let age_ms = (unix_ms - made_unix_ms).max(0.0);
-                self.events.push_back(Event::Purged { object, group, age_ms });
+                self.events.push_back(Event::Purged { object: named, group, age_ms });
+                self.settle(now);
+                // What waits with an older bound is decided anew: it must not leave with what it says of its copy.
+                let purged = |ask: &Ask| match &object {
+                    Some(object) => ask.object.as_ref() == Some(object),
+                    None => ask.group == group,
+                };
+                let concerned =
+                    self.held.values().filter(|held| purged(&held.ask)).flat_map(|held| &held.out);
+                let concerned: Vec<AttemptKey> = concerned.copied().collect();
+                concerned.into_iter().for_each(|key| self.pull(now, key));
             }
             Some(Word::Pool { whole, machines }) => {
                 self.counters.lists += 1;
--- a/src/runtime/board.rs
+++ b/src/runtime/board.rs
@@ -53,14 +53,24 @@
             };
             let waiting = self.follower.waiting();
             let fed = if waiting { self.follower.feed(now, &self.buffer[..bytes], eof) } else { Ok(None) };
-            match fed {
-                Ok(Some(notices)) => {
+            let stray = match fed {
+                Ok(Some(news)) => {
                     let unix_ms = unix_ms();
-                    let inputs = notices.into_iter().map(|notice| Input::Notice { notice, unix_ms });
+                    let inputs = news.notices.into_iter().map(|notice| Input::Notice { notice, unix_ms });
                     self.inbox.extend(inputs);
+                    for doubt in &news.doubts {
+                        say!("an event of the board can't be read, and is taken as narrowly as can be: {doubt}");
+                    }
+                    news.stray
                 }
-                Ok(None) => {}
+                Ok(None) => !waiting && bytes > 0,
                 Err(why) => return self.board_failed(&why),
+            };
+            if stray {
+                // It would be taken for the answer to the next poll.
+                self.reducer.counters.board_faults += 1;
+                say!("the board says more than it was asked for: its connection ends");
+                return self.drop_board();
             }
             if eof {
                 if self.follower.waiting() {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -216,7 +216,7 @@
         listens: config.listen,
         board_at: config.board,
         board: None,
-        follower: Follower::new(config.rev),
+        follower: Follower::new(config.rev, config.seed),
         dirty: BTreeSet::new(),
         exit_by: None,
         buffer: vec![0; 64 * 1024],
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -1,7 +1,7 @@
 //! The notice board's answers, wherever they are split, and the config that holds its first events.
 
 use frostturn::api::*;
-use frostturn::board::{Follower, Notice, Word};
+use frostturn::board::{Follower, News, Word, LINGER_MS, POLL_SLACK_MS};
 use frostturn::config::Config;
 
 fn answer(body: &str) -> Vec<u8> {
@@ -16,8 +16,8 @@
     format!(r#"{{"rev":0,"notices":[{}]}}"#, notices.join(","))
 }
 
-fn revs(news: Result<Option<Vec<Notice>>, String>) -> Vec<u64> {
-    news.expect("readable").expect("whole").iter().map(|notice| notice.rev).collect()
+fn revs(news: Result<Option<News>, String>) -> Vec<u64> {
+    news.expect("readable").expect("whole").notices.iter().map(|notice| notice.rev).collect()
 }
 
 const POOL: &str = r#"{"rev":41,"pool":{"index":7,"snapshot":true,"endpoints":[{"name":"s-1","address":
@@ -34,7 +34,7 @@
         second.len()
     );
     for bytes in [plain, chunked.into_bytes()] {
-        let mut follower = Follower::new(3);
+        let mut follower = Follower::new(3, 1);
         let asked = follower.poll(0.0, ([127, 0, 0, 1], 9092).into());
         assert!(asked.starts_with(b"GET /board/poll?watch=3&linger="));
         let mut news = None;
@@ -42,7 +42,7 @@
             assert!(news.is_none(), "not before it is whole");
             news = news.or(follower.feed(0.0, &[*byte], false).expect("readable"));
         }
-        let news = news.expect("whole");
+        let news = news.expect("whole").notices;
         let Some(Word::Pool { whole: true, machines }) = &news[0].word else { panic!("{news:?}") };
         assert_eq!((machines[0].name.as_str(), machines[0].phase), ("s-1", Phase::Draining));
         assert_eq!(machines[0].since_unix_ms, Some(1764576000123.0));
@@ -53,7 +53,7 @@
 
 #[test]
 fn events_come_in_order_once_and_a_gap_is_asked_for_again() {
-    let mut follower = Follower::new(40);
+    let mut follower = Follower::new(40, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut feed = |notices: &[String]| {
         follower.poll(0.0, address);
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_failed_poll_is_resumed_at_once_and_then_more_and_more_slowly() {
-    let mut follower = Follower::new(5);
+    let mut follower = Follower::new(5, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut waits = Vec::new();
     for bad in
@@ -88,10 +88,108 @@
     }
     assert!(waits[0] == 0.0 && waits[1] > 0.0 && waits[2] > waits[1] && waits[2] <= 500.0, "{waits:?}");
     follower.poll(2000.0, address);
-    assert_eq!(follower.feed(2000.0, &answer(&events(&[])), false), Ok(Some(vec![])));
+    assert_eq!(follower.feed(2000.0, &answer(&events(&[])), false), Ok(Some(News::default())));
     assert_eq!(follower.due, 2000.0, "and after an answer at once again");
 }
 
+#[test]
+fn two_silences_in_a_row_are_over_before_what_the_board_says_counts_as_told() {
+    // The platform's page: 7 s, whether it has come or not. Endpoints that drain get no second more in the settings.
+    let mut follower = Follower::new(5, 1);
+    let address = ([127, 0, 0, 1], 9092).into();
+    let mut now = 0.0;
+    for _ in 0..2 {
+        follower.poll(now, address);
+        assert!(follower.waiting() && follower.due == now + LINGER_MS + POLL_SLACK_MS);
+        now = follower.due;
+        follower.failed(now);
+        now = follower.due;
+    }
+    assert!(now < 6000.0, "the third is out by then: {now}");
+}
+
+#[test]
+fn hundreds_of_routers_that_fail_at_the_same_moment_come_apart() {
+    // The board refuses all calls for 8 s, from one moment on.
+    let mut calls: Vec<f64> = Vec::new();
+    for seed in 0..300 {
+        let mut follower = Follower::new(5, seed);
+        follower.failed(0.0);
+        while follower.due < 8000.0 {
+            let now = follower.due;
+            calls.push(now);
+            follower.poll(now, ([127, 0, 0, 1], 9092).into());
+            follower.failed(now);
+        }
+    }
+    let most = (20..80).map(|at| f64::from(at) * 100.0);
+    let most = most.map(|from| calls.iter().filter(|at| (from..from + 100.0).contains(*at)).count()).max();
+    assert!(calls.len() < 300 * 40, "bounded: {}", calls.len());
+    assert!(most < Some(130), "a hundredth of a second's calls each, not all at once: {most:?}");
+    let mut moved: Vec<u64> = (0..300)
+        .map(|seed| {
+            let mut follower = Follower::new(5, seed);
+            follower.moved(0.0);
+            (follower.due / 10.0) as u64
+        })
+        .collect();
+    moved.dedup();
+    assert!(moved.len() > 100, "nor when another board is named to all");
+}
+
+#[test]
+fn numbers_that_begin_anew_are_followed_and_the_whole_list_comes_as_one() {
+    let mut follower = Follower::new(9, 1);
+    let address = ([127, 0, 0, 1], 9092).into();
+    follower.poll(0.0, address);
+    let older = format!(r#"{{"rev":2,"notices":[{}]}}"#, purge(2));
+    assert_eq!(revs(follower.feed(0.0, &answer(&older), false)), [0; 0]);
+    assert!(follower.poll(0.0, address).starts_with(b"GET /board/poll?watch=0&"));
+    let change = |rev: u64, name: &str, status: &str| {
+        format!(
+            r#"{{"rev":{rev},"pool":{{"endpoints":[{{"name":"{name}","address":"127.0.0.9:7001","status":"{status}"}}]}}}}"#
+        )
+    };
+    let first = POOL.replace("\"rev\":41", "\"rev\":1");
+    let all =
+        [first, change(2, "s-1", "left"), purge(3), change(4, "s-2", "leaving"), change(5, "s-1", "active")];
+    let news = follower.feed(0.0, &answer(&events(&all)), false).expect("readable").expect("whole");
+    assert_eq!(news.notices.len(), 2, "a list and a purge: {news:?}");
+    let Some(Word::Pool { whole: true, machines }) = &news.notices[0].word else { panic!("{news:?}") };
+    let states: Vec<_> = machines.iter().map(|one| (one.name.as_str(), one.phase)).collect();
+    assert_eq!(states, [("s-2", Phase::Draining), ("s-1", Phase::Serving)]);
+    assert!(follower.poll(0.0, address).starts_with(b"GET /board/poll?watch=5&"));
+    // Later changes come one by one, and an empty list takes all away.
+    let empty = r#"{"rev":7,"pool":{"snapshot":true,"endpoints":[]}}"#.to_owned();
+    let news = follower.feed(0.0, &answer(&events(&[change(6, "s-3", "active"), empty])), false);
+    let news = news.expect("readable").expect("whole").notices;
+    assert_eq!((news.len(), &news[1].word), (2, &Some(Word::Pool { whole: true, machines: vec![] })));
+}
+
+#[test]
+fn what_cannot_be_read_of_an_event_allows_nothing_and_more_than_was_asked_for_is_told() {
+    let mut follower = Follower::new(0, 1);
+    follower.poll(0.0, ([127, 0, 0, 1], 9092).into());
+    let entries = r#"{"name":"s-1","address":"127.0.0.9:7001","status":"resting"},{"name":"s-2","status":"active"},
+        {"status":"active"}"#;
+    let list = [
+        format!(r#"{{"rev":1,"pool":{{"snapshot":true,"endpoints":[{entries}]}}}}"#),
+        r#"{"rev":2,"flush":{"asset":"a"}}"#.to_owned(),
+        r#"{"rev":3,"flush":{}}"#.to_owned(),
+        r#"{"rev":4,"pool":{}}"#.to_owned(),
+    ];
+    let mut bytes = answer(&events(&list));
+    bytes.push(b'H');
+    let news = follower.feed(0.0, &bytes, false).expect("readable").expect("whole");
+    assert!(news.stray);
+    assert_eq!(news.doubts.len(), 4, "no more of them: {:?}", news.doubts);
+    let Some(Word::Pool { whole: true, machines }) = &news.notices[0].word else { panic!("{news:?}") };
+    assert!(machines.len() == 2 && machines.iter().all(|one| one.phase == Phase::Draining));
+    let now = Word::Purge { object: Some("a".into()), group: 0, made_unix_ms: f64::INFINITY };
+    assert_eq!(news.notices[1].word, Some(now), "one of now");
+    assert_eq!((&news.notices[2].word, &news.notices[3].word), (&None, &None));
+}
+
 fn config(change: impl Fn(String) -> String) -> Result<Config, String> {
     let json = format!(
         r#"{{"name":"n3","listen":"127.0.0.1:7001","seed":"8c1f30d27a5be964","board":"127.0.0.1:9092",
