--- /dev/null
+++ b/tests/floods.rs
@@ -0,0 +1,152 @@
+//! Floods and bad clients: only the guilty connection ends, others are served, memory and sockets stay bounded.
+
+mod rig;
+
+use frostturn::fastcgi::{self, kind};
+use rig::{until, Client, Endpoint, Event, Router, Site};
+use std::io::Write;
+
+/// A request that was begun, with these bytes behind it.
+fn begun(request: u16, role: u8, behind: &[(u8, Vec<u8>)]) -> Vec<u8> {
+    let mut out = Vec::new();
+    fastcgi::record(&mut out, kind::BEGIN, request, &[0, role, 1, 0, 0, 0, 0, 0]);
+    behind.iter().for_each(|(what, content)| fastcgi::record(&mut out, *what, request, content));
+    out
+}
+
+#[test]
+fn what_cannot_be_read_costs_its_own_connection_alone() {
+    let endpoint = Endpoint::new();
+    let mut site = Site::new(&[("e-1", &endpoint)]);
+    site.limits = r#""MostTries":1,"Cancelling":true"#;
+    let router = Router::start("foreign", &site);
+    let cut = &Client::request(1, "page", 1, 1, b"")[..30];
+    let twice = [begun(1, 1, &[]), begun(1, 1, &[])].concat();
+    let endless: Vec<_> = (0..3).map(|_| (kind::PARAMS, vec![1; 8000])).collect();
+    let bad: [(&str, Vec<u8>); 8] = [
+        ("HTTP", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec()),
+        ("TLS", vec![0x16, 3, 1, 2, 0, 1, 0, 1, 0xfc, 3, 3]),
+        ("another version", vec![9; 64]),
+        ("a beginning cut short", vec![1, kind::BEGIN, 0, 1, 0, 2, 0, 0, 0, 1]),
+        ("a request that begins twice", twice),
+        ("parameters without end", begun(1, 1, &endless)),
+        ("a body before its parameters", begun(1, 1, &[(kind::STDIN, vec![1; 9])])),
+        (
+            "a pair of an impossible length",
+            begun(1, 1, &[(kind::PARAMS, vec![255; 40]), (kind::PARAMS, vec![]), (kind::STDIN, vec![])]),
+        ),
+    ];
+    let faults = bad.len() as u64;
+    let mut good = Client::connect(&router);
+    for (at, (what, bytes)) in (1..).zip(bad) {
+        // A request is out on the bad connection as it goes wrong, and another one on a good connection.
+        let mut guilty = Client::connect(&router);
+        guilty.ask(2, "page", 100 + u64::from(at));
+        let lost = endpoint.asked();
+        good.ask(at, "page", 200 + u64::from(at));
+        let kept = endpoint.asked();
+        guilty.stream.write_all(&bytes).expect("written");
+        assert!(guilty.closed(), "{what}: half-closed, not reset");
+        // What was out for it is settled by its true progress: it may run, and is called off.
+        until(what, || matches!(endpoint.next(), Event::Frame(_, parts) if parts == ["STOP", &lost.id]));
+        endpoint.serve(&kept);
+        assert_eq!(good.status(at), 200, "{what}");
+    }
+    let mut short = Client::connect(&router);
+    short.stream.write_all(cut).expect("written");
+    drop(short);
+    let log = router.end();
+    assert_eq!(rig::figure(&log, "client_faults"), faults, "{log}");
+    assert_eq!((rig::figure(&log, "panics"), rig::figure(&log, "aborted")), (0, faults));
+}
+
+#[test]
+fn much_at_once_and_gone_is_forgotten_and_others_are_served_meanwhile() {
+    let endpoint = Endpoint::new();
+    let mut site = Site::new(&[("e-1", &endpoint)]);
+    (site.memory_mb, site.sockets) = (32, 256);
+    let router = Router::start("gone", &site);
+    let mut good = Client::connect(&router);
+    for round in 1..=8_u16 {
+        let flood: Vec<Client> = (0..60)
+            .map(|at: u64| {
+                let mut client = Client::connect(&router);
+                let mut bytes = Vec::new();
+                // Half of each connection's requests are never whole, with all that a body may have.
+                for request in 1..=20 {
+                    let id = u64::from(round) << 32 | at << 16 | u64::from(request);
+                    let whole = Client::request(request, "page", id, id, &[7; 40_000]);
+                    bytes.extend_from_slice(&whole[..if request % 2 == 0 { whole.len() } else { 30_000 }]);
+                    if request % 2 == 1 {
+                        fastcgi::record(&mut bytes, kind::ABORT, request, b"");
+                    }
+                }
+                client.stream.set_nonblocking(true).expect("set");
+                let _ = client.stream.write(&bytes); // As much as the system takes.
+                client
+            })
+            .collect();
+        drop(flood);
+        good.ask(round, "page", u64::from(round));
+        loop {
+            let asked = endpoint.asked();
+            if asked.id == format!("{:016x}", round) {
+                endpoint.serve(&asked);
+                break;
+            }
+        }
+        assert_eq!(good.status(round), 200);
+    }
+    until("nothing of it is kept", || router.descriptors() < 40);
+    assert!(router.resident() < 32 << 20, "{}", router.resident());
+    assert_eq!(rig::figure(&router.end(), "panics"), 0);
+}
+
+#[test]
+fn clients_that_finish_nothing_leave_room_for_those_that_do() {
+    let endpoint = Endpoint::new();
+    let mut site = Site::new(&[("e-1", &endpoint)]);
+    site.sockets = 96;
+    let router = Router::start("slow", &site);
+    let half = Client::request(1, "page", 1, 1, b"");
+    // Twice as many as there is room for; some say nothing, some a part of a request.
+    let slow: Vec<Client> = (0..120)
+        .map(|at| {
+            let mut client = Client::connect(&router);
+            let _ = client.stream.write(&half[..at % 40]); // It may have been let go.
+            client
+        })
+        .collect();
+    for at in 1..=20 {
+        let mut good = Client::connect(&router);
+        good.ask(1, "page", 100 + at);
+        endpoint.serve(&endpoint.asked());
+        assert_eq!(good.status(1), 200);
+    }
+    assert!(router.descriptors() <= 96, "{}", router.descriptors());
+    drop(slow);
+    assert_eq!(rig::figure(&router.end(), "panics"), 0);
+}
+
+#[test]
+fn a_body_that_is_too_big_is_failed_at_once_and_the_connection_serves_on() {
+    let endpoint = Endpoint::new();
+    let router = Router::start("bigbody", &Site::new(&[("e-1", &endpoint)]));
+    let mut client = Client::connect(&router);
+    let whole = Client::request(1, "page", 1, 1, b"");
+    let head = &whole[..whole.len() - 8];
+    client.stream.write_all(head).expect("written");
+    let mut part = Vec::new();
+    fastcgi::record(&mut part, kind::STDIN, 1, &[7; 40_000]);
+    for _ in 0..2 {
+        client.stream.write_all(&part).expect("written");
+    }
+    assert_eq!(client.status(1), 502, "before its end, which may never come");
+    for _ in 0..20 {
+        client.stream.write_all(&part).expect("written");
+    }
+    client.ask(2, "page", 2);
+    endpoint.serve(&endpoint.asked());
+    assert_eq!(client.status(2), 200);
+    router.end();
+}
--- /dev/null
+++ b/tests/hot_restart.rs
@@ -0,0 +1,107 @@
+//! Hot restart: two processes of one router share what operators have said, whichever ends, hangs or is killed.
+
+mod rig;
+
+use rig::{call, until, Client, Endpoint, Router, Site};
+use std::path::{Path, PathBuf};
+
+/// A folder of its own for a test, empty.
+fn folder(test: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("hot-{test}"));
+    let _ = std::fs::remove_dir_all(&path); // There may be none from an earlier run.
+    std::fs::create_dir(&path).expect("made");
+    path
+}
+
+/// An old process and a new one beside it.
+fn pair(test: &str, endpoint: &Endpoint) -> (Router, Router, PathBuf) {
+    let tmp = folder(test);
+    let mut site = Site::new(&[("e-1", endpoint)]);
+    site.tmp = Some(tmp.clone());
+    site.options = vec!["--ops".into(), "127.0.0.1:0".into()];
+    let old = Router::start(&format!("{test}-old"), &site);
+    site.options.extend(["--listen".into(), old.address.clone()]);
+    let new = Router::start(&format!("{test}-new"), &site);
+    (old, new, tmp)
+}
+
+fn ready(router: &Router) -> u16 {
+    call(&router.ops(), "GET", "/api/ready", "")
+}
+
+/// Whether the only endpoint stays out: also once the file has been looked at again and again.
+fn stays_out(router: &Router) -> bool {
+    let stays = (0..10).all(|_| {
+        rig::pass(60);
+        ready(router) == 503
+    });
+    let mut client = Client::connect(router);
+    client.ask(1, "page", 0xfff);
+    stays && client.status(1) != 200
+}
+
+#[test]
+fn a_call_answered_yes_by_one_as_the_other_ends_holds() {
+    let endpoint = Endpoint::new();
+    let (old, new, tmp) = pair("ends", &endpoint);
+    // The old one is to end, and hasn't heard of the call, as the new one says yes.
+    old.hold();
+    old.signal("-TERM");
+    assert_eq!(call(&new.ops(), "POST", "/api/exclude", "e-1"), 200);
+    old.go();
+    old.ends();
+    assert!(stays_out(&new), "what the old one wrote as it left kept the other's word");
+    assert_eq!(call(&new.ops(), "POST", "/api/include", "e-1"), 200);
+    assert_eq!(ready(&new), 200);
+    new.end();
+    assert!(endpoint.ids().is_empty());
+    std::fs::remove_dir_all(tmp).expect("there");
+}
+
+#[test]
+fn a_call_answered_yes_by_one_that_ends_holds_in_the_one_that_stays() {
+    let endpoint = Endpoint::new();
+    let (old, new, tmp) = pair("stays", &endpoint);
+    let mut waits = Client::connect(&old);
+    // Whichever of the two took the client, the one to end is the old one; it still answers calls.
+    waits.ask(1, "page", 1);
+    let held = endpoint.asked();
+    old.signal("-TERM");
+    old.waits_for("told to end");
+    assert_eq!(call(&old.ops(), "POST", "/api/exclude", "e-1"), 200);
+    new.hold();
+    endpoint.serve(&held);
+    old.ends();
+    new.go();
+    until("the new one heeds it", || ready(&new) == 503);
+    assert!(stays_out(&new));
+    new.end();
+    std::fs::remove_dir_all(tmp).expect("there");
+}
+
+#[test]
+fn one_that_is_killed_in_the_middle_or_holds_the_lock_leaves_the_other_serving() {
+    let endpoint = Endpoint::new();
+    let (old, new, tmp) = pair("killed", &endpoint);
+    let lock = std::fs::read_dir(&tmp).expect("there").flatten().map(|entry| entry.path());
+    let lock = lock.into_iter().find(|path| path.extension().is_some_and(|e| e == "lock")).expect("a lock");
+    // It hangs as it holds the lock: the other says that it can't be saved, and nothing is changed.
+    let held = std::fs::File::options().write(true).open(&lock).expect("there");
+    held.lock().expect("free");
+    assert_eq!(call(&new.ops(), "POST", "/api/exclude", "e-1"), 500);
+    assert_eq!(ready(&new), 200);
+    // It is killed there, half a file beside it: the system frees the lock.
+    old.hold();
+    old.kill();
+    drop(held);
+    std::fs::write(lock.with_extension("1.part"), b"FTSTATE\x02half").expect("written");
+    assert_eq!(call(&new.ops(), "POST", "/api/exclude", "e-1"), 200);
+    assert!(stays_out(&new));
+    assert_eq!(call(&new.ops(), "POST", "/api/include", "e-1"), 200);
+    let mut client = Client::connect(&new);
+    client.ask(1, "page", 1);
+    endpoint.serve(&endpoint.asked());
+    assert_eq!(client.status(1), 200);
+    new.end();
+    std::fs::remove_dir_all(tmp).expect("there");
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -43,6 +43,8 @@
     pub memory_mb: u32,
     pub sockets: u32,
     pub options: Vec<String>,
+    /// Where it keeps its files; where the system has them, if not set.
+    pub tmp: Option<std::path::PathBuf>,
 }
 
 impl Site {
@@ -56,6 +58,7 @@
             memory_mb: 192,
             sockets: 256,
             options: Vec::new(),
+            tmp: None,
         }
     }
 
@@ -101,6 +104,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn"))
             .args(&site.options)
             .env("PROXY_CONFIG", path)
+            .env("TMPDIR", site.tmp.clone().unwrap_or_else(std::env::temp_dir))
             .env_remove("PROXY_LISTEN")
             .stderr(Stdio::piped())
             .spawn()
@@ -127,6 +131,30 @@
         self.log.lock().expect("not poisoned").clone()
     }
 
+    /// Where operators call it, if it was told a place.
+    pub fn ops(&self) -> String {
+        let said = self.said();
+        let after = said.split("operators call at ").nth(1).expect("a place");
+        after.lines().next().expect("an address").to_owned()
+    }
+
+    /// Bytes of memory that it holds.
+    pub fn resident(&self) -> u64 {
+        let path = format!("/proc/{}/statm", self.child.id());
+        let text = std::fs::read_to_string(path).expect("it runs");
+        4096 * text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).expect("a figure")
+    }
+
+    /// Sockets and files that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
+    /// Kills it at once.
+    pub fn kill(mut self) {
+        self.child.kill().and_then(|()| self.child.wait()).expect("killed");
+    }
+
     /// Waits until it has logged these words.
     pub fn waits_for(&self, words: &str) {
         until(words, || self.said().contains(words));
@@ -185,6 +213,18 @@
     }
 }
 
+/// One call to where operators call; the answer's status.
+pub fn call(address: &str, method: &str, path: &str, body: &str) -> u16 {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    let length = body.len();
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
+        .expect("written");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer, and a close");
+    text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
 /// A figure of the last counters in a log.
 pub fn figure(log: &str, name: &str) -> u64 {
     let last = log.rsplit("counters ").next().unwrap_or_default();
