Pass on what keyed requests are known by, and keep attempts apart where two may not be out

(3) The module called silent attempts off also where Limits.Cancelling forbids it (policy.rs check).

Change: the key goes along as nonce, the name the platform's names file has; the next attempt of a request is parked until 50 ms after one that was given up, and pulled like all that hasn't left; without cancelling only a time-out ends an attempt. No final answer waits for it.

Three new tests fail without.

--- a/src/back/words.rs
+++ b/src/back/words.rs
@@ -82,5 +82,10 @@
     if let Some(tag) = &ask.holds {
         field("holds", tag.clone());
     }
+    // By the platform's names file: the protocol page doesn't have it, and a keyed request without it is refused as one
+    // that no client sent.
+    if let Some(key) = &ask.idempotency_key {
+        field("nonce", key.to_string());
+    }
     resp::frame(&[b"REQ", ask.id.as_bytes(), fields.as_bytes(), &ask.body])
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -434,6 +434,10 @@
     if holds.is_some_and(|tag| tag.is_empty() || !plain(tag)) {
         return Err("X-Known is bad");
     }
+    let idempotency_key = text("HTTP_IDEMPOTENCY_KEY")?;
+    if idempotency_key.is_some_and(|key| !plain(key)) {
+        return Err("Idempotency-Key is bad");
+    }
     Ok(Ask {
         id: id.to_owned(),
         class: class.to_owned(),
@@ -448,6 +452,7 @@
         group: group.unwrap_or(0),
         size_kb: size.filter(|kb| *kb > 0.0),
         holds: holds.map(str::to_owned),
+        idempotency_key: idempotency_key.map(Into::into),
         body,
     })
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -593,7 +593,8 @@
         let patience = (aim_left - expected).max(PATIENCE * (ttfb + own * crowd));
         let again = tries + 1 < most && left - patience > expected;
         // Where nothing can be called off, a time-out must do for the check.
-        let timeout_ms = if again && !self.settings.limits.cancelling { patience } else { left };
+        let called_off = self.settings.limits.cancelling;
+        let timeout_ms = if again && !called_off { patience } else { left };
         let rank = if pending.seen { Keep::Middle } else { Keep::Low };
         let rank = if self.mode(asked).is_some() { Keep::High } else { rank };
         let keep = if class.uncached || asked.object.is_none() { Keep::No } else { rank };
@@ -609,7 +610,8 @@
             keep: asked.keep(keep),
             within_ms: Some(within).filter(|ms| ms.is_finite()),
         };
-        let (sent, outcome, blamed, check) = (now, None, None, if again { patience } else { f64::INFINITY });
+        let check = if again && called_off { patience } else { f64::INFINITY };
+        let (sent, outcome, blamed) = (now, None, None);
         Some((fetch, Attempt { cache, source, sent, check, fill, outcome, blamed }))
     }
 
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -25,6 +25,10 @@
 /// An attempt whose first byte hasn't left by then is pulled back: within the second that drains and purges
 /// leave, counted from the decision.
 const UNSENT_MS: Millis = 600.0;
+/// Where two attempts may not be out at once, the next one leaves so long after one that was given up: its STOP, or the
+/// close of its connection, is on its way and may come later than what goes another way. The protocol page grants as
+/// much beyond each time limit.
+const APART_MS: Millis = 50.0;
 /// After SIGTERM new connections come for up to 0.4 s and requests on them for 0.2 s more.
 const STILL_COMING_MS: Millis = 700.0;
 /// SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, and 0.7 s more.
@@ -55,6 +59,7 @@
     Module(Token),
     Guard(Client),
     Limit(AttemptKey),
+    Apart(AttemptKey),
     Unsent(AttemptKey),
     StopListening,
     AnswerAll,
@@ -70,6 +75,8 @@
     /// Attempts made, and those of them that are out.
     attempts: usize,
     out: Vec<AttemptKey>,
+    /// Where two may not be out at once: until then one that was given up may be at work still.
+    apart: Millis,
 }
 
 /// An attempt that is out.
@@ -82,6 +89,8 @@
     source: CacheId,
     sent: Millis,
     progress: Progress,
+    /// It waits until another one is surely over.
+    parked: Option<Call>,
 }
 
 #[derive(Debug)]
@@ -354,6 +363,12 @@
             Due::Limit(key) => {
                 self.stop(now, key, Outcome::Timeout, Outcome::ConnectFailed, false);
             }
+            Due::Apart(key) => {
+                if let Some(call) = self.out.get_mut(&key).and_then(|out| out.parked.take()) {
+                    let member = call.fetch.cache.clone();
+                    self.effects.push(Effect::Send { attempt: key, member, call });
+                }
+            }
             Due::Unsent(key) => self.pull(now, key),
             Due::StopListening => {
                 self.effects.push(Effect::StopListening);
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -75,7 +75,8 @@
         self.clients.insert(id.clone(), client);
         self.open_ids.insert(ask.id.clone());
         self.held_bytes += ask.body.len();
-        self.held.insert(client, Held { id, ask: ask.into(), fragile, attempts: 0, out: Vec::new() });
+        self.held
+            .insert(client, Held { id, ask: ask.into(), fragile, attempts: 0, out: Vec::new(), apart: 0.0 });
         self.at(guard, Due::Guard(client));
     }
 
@@ -155,7 +156,9 @@
             source: fetch.source.clone(),
             sent: now,
             progress: Progress::NotConnected,
+            parked: None,
         };
+        let apart = held.apart;
         self.out.insert(key, out);
         if self.members.get(&fetch.cache).is_none_or(|member| member.phase != Phase::Serving) {
             return self.end(now, key, Outcome::Moot, None, false);
@@ -169,7 +172,20 @@
         if self.plugins.is_some() {
             self.watch.sent(&member);
         }
-        self.effects.push(Effect::Send { attempt: key, member, call });
+        match self.out.get_mut(&key).filter(|_| apart > now) {
+            Some(out) => {
+                out.parked = Some(call);
+                self.at(apart, Due::Apart(key));
+            }
+            None => self.effects.push(Effect::Send { attempt: key, member, call }),
+        }
+    }
+
+    /// An attempt that may be at work was given up from this side: the next one keeps apart, where it must.
+    fn keep_apart(&mut self, now: Millis, client: Client) {
+        if !self.settings.limits.second_copies {
+            self.held.entry(client).and_modify(|held| held.apart = now + APART_MS);
+        }
     }
 
     /// Gives an attempt up and reports it: as `unsent` where no byte of it has left, else as `sent`.
@@ -177,6 +193,9 @@
         let Some(out) = self.out.get(&key) else { return };
         // One that is partly written will be written to its end, as other frames follow it.
         let outcome = if out.progress == Progress::NotConnected { unsent } else { sent };
+        if out.progress != Progress::NotConnected {
+            self.keep_apart(now, out.client);
+        }
         self.effects.push(Effect::Stop { attempt: key });
         self.end(now, key, outcome, None, last);
     }
@@ -248,7 +267,10 @@
             End::Lost(Progress::NotConnected | Progress::PartlyWritten) => {
                 return self.end(now, key, Outcome::ConnectFailed, None, false);
             }
-            End::Lost(_) => return self.end(now, key, Outcome::Reset, None, false),
+            End::Lost(_) => {
+                self.keep_apart(now, client); // The connection may have ended from this side.
+                return self.end(now, key, Outcome::Reset, None, false);
+            }
             End::NoRoom => return self.end(now, key, Outcome::Moot, None, false),
             End::Overdue => {
                 self.counters.attempt_pulled += 1;
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -48,6 +48,8 @@
     pub size_kb: Option<f64>,
     /// The tag of the client's own copy.
     pub holds: Option<String>,
+    /// What a keyed class's repeats are known by; passed on with each attempt.
+    pub idempotency_key: Option<Box<str>>,
     /// The body; passed on.
     pub body: Vec<u8>,
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -579,6 +579,37 @@
     check(property as fn(Vec<Step>) -> bool);
 }
 
+#[test]
+fn what_a_keyed_request_is_known_by_comes_from_the_client_and_goes_to_the_machine() {
+    let ask_with = |key: &str| {
+        let (mut out, mut params) = (begin(1, 1), Vec::new());
+        for (name, value) in [
+            ("SCRIPT_NAME", "/ops/page"),
+            ("HTTP_X_REQUEST_ID", ID),
+            ("HTTP_X_TIMEOUT_MS", "1500"),
+            ("HTTP_IDEMPOTENCY_KEY", key),
+        ] {
+            fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
+        }
+        for (what, content) in [(kind::PARAMS, &params[..]), (kind::PARAMS, b""), (kind::STDIN, b"")] {
+            fastcgi::record(&mut out, what, 1, content);
+        }
+        let mut heard = Conn::new(0.0).receive(0.0, &out).expect("well-formed");
+        let Some(Heard::Asked(_, asked, _)) = heard.pop() else { panic!("{heard:?}") };
+        asked
+    };
+    for bad in ["a,limit=1", "a b", &"x".repeat(129)] {
+        assert!(ask_with(bad).is_err(), "it could pass for another field: {bad}");
+    }
+    let ask = ask_with("c7ab15fa3c57c2968256bea080fceb6d").expect("good");
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let call = Call { ask: ask.into(), ..call("a") };
+    let (key, _) = links.send(0.0, 5, &member, &call).expect("room");
+    up(&mut links, 0.0, key);
+    let text = String::from_utf8_lossy(links.output(key).expect("it is up")).into_owned();
+    assert!(text.contains(",nonce=c7ab15fa3c57c2968256bea080fceb6d\r\n"), "{text}");
+}
+
 #[test]
 fn a_mute_connection_gets_nothing_more_and_a_sound_clears_it() {
     let (mut links, member) = (links(), CacheId::from("m"));
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -189,6 +189,49 @@
     assert_eq!((rig.reducer.open(), rig.reducer.counters.aborted), (0, 2));
 }
 
+#[test]
+fn without_second_copies_the_next_attempt_keeps_apart_from_one_that_was_given_up() {
+    for second_copies in [false, true] {
+        let mut rig = Rig::new();
+        let mut settings = settings();
+        settings.limits.second_copies = second_copies;
+        let net = Net { dial_timeout_ms: 2000.0, ..net() };
+        rig.reducer = Reducer::new(settings, net, 1, START_MS, UNIX_MS);
+        let machines = ["e1", "e2"].map(|name| listed(name, "edge", "east", Phase::Serving, None)).into();
+        rig.word(Word::Pool { whole: true, machines });
+        let written = |rig: &mut Rig| {
+            let (attempt, fetch) = sent(&rig.ask("read", 3000.0));
+            rig.step(Input::Progressed { attempt, progress: Progress::WrittenWhole });
+            (attempt, fetch)
+        };
+        // Its connection breaks: nothing leaves in the next 50 ms where the settings want it so.
+        let (first, _) = written(&mut rig);
+        let now = rig.lost(first, Progress::WrittenWhole);
+        let early = [now, rig.wait(48.0)].concat();
+        let late = rig.wait(4.0);
+        let (at_once, then) = if second_copies { (early, late) } else { (late, early) };
+        let (again, _) = sent(&at_once);
+        assert!(!then.iter().any(|effect| matches!(effect, Effect::Send { .. })));
+        rig.answered(again, Outcome::Ok, 3, false);
+        // Meanwhile what waits is pulled by a drain or a purge like all that has not left, and a client may leave.
+        let (second, fetch) = written(&mut rig);
+        rig.lost(second, Progress::WrittenWhole);
+        let other = if fetch.cache == "e1".into() { "e2" } else { "e1" };
+        let machines = vec![listed(other, "edge", "east", Phase::Draining, None)];
+        rig.word(Word::Pool { whole: false, machines });
+        rig.step(Input::Aborted { client: rig.client() });
+        let after = rig.wait(100.0);
+        assert!(!after.iter().any(|effect| matches!(effect, Effect::Send { .. })), "{after:?}");
+        // What never left is no reason to wait, and a final answer is none to be held back.
+        rig.serial += 1;
+        let (third, _) = sent(&rig.ask("read", 3000.0));
+        assert!(matches!(
+            replies(&rig.lost(third, Progress::NotConnected))[..],
+            [] | [Reply::Refused { .. }]
+        ));
+    }
+}
+
 #[test]
 fn a_timer_acts_only_once_all_that_came_with_it_is_heard() {
     let mut rig = Rig::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -119,6 +119,19 @@
     assert_ne!(second.source, first.source);
 }
 
+#[test]
+fn where_nothing_may_be_called_off_a_silent_cache_is_left_by_a_time_out_alone() {
+    let mut settings = settings();
+    settings.limits.cancelling = false;
+    let mut driver = Driver::new(settings, fleet());
+    let first = fetch(&driver.ask(READ, "song"));
+    assert!(first.timeout_ms < 4000.0, "there is time for another attempt after it: {}", first.timeout_ms);
+    let actions = driver.wait(3500.0);
+    assert!(!actions.iter().any(|action| matches!(action, Action::Abandon { .. })), "{actions:?}");
+    let second = fetch(&driver.end(&first, 0, Outcome::Timeout, None));
+    assert_ne!(second.cache, first.cache);
+}
+
 #[test]
 fn a_silent_cache_is_left_but_a_slow_one_is_not() {
     // Silence: nothing at all comes back from it, and the attempt is called off.
