--- /dev/null
+++ b/tests/ci.rs
@@ -0,0 +1,89 @@
+//! What the project's checks make of KNOWN-RED.txt, with a stand-in for cargo that says what it is told to.
+
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// The tests that the stand-in has: two of one name among them, and one whose name holds another's.
+const TESTS: [&str; 5] = ["one", "one_more", "two", "three", "a::three"];
+
+/// A tree whose tests `failing` fail, with this list; whether the checks pass, and what they print.
+fn checks(test: &str, list: Option<&str>, failing: &[&str]) -> (bool, String) {
+    let tree: PathBuf = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("ci-{test}"));
+    let _ = std::fs::remove_dir_all(&tree); // There may be none from an earlier run.
+    std::fs::create_dir(&tree).expect("made");
+    if let Some(list) = list {
+        std::fs::write(tree.join("KNOWN-RED.txt"), list).expect("written");
+    }
+    // It lists its tests, or runs them: all but the skipped ones, or the exact one that it is given.
+    let script = format!(
+        r#"#!/usr/bin/env bash
+        all="{all} four four"; failing=" {failing} "
+        case "$*" in *--list*) for t in $all; do echo "$t: test"; done; exit 0;; esac
+        skip=" "; only=""
+        while [ $# -gt 0 ]; do
+            case $1 in --skip) skip="$skip$2 "; shift;; --exact|--locked|--workspace|test|--) ;; *) only=$1;; esac
+            shift
+        done
+        code=0
+        for t in $all; do
+            case "$skip" in *" $t "*) continue;; esac
+            [ -z "$only" ] || [ "$only" = "$t" ] || continue
+            case "$failing" in *" $t "*) echo "$t FAILED"; code=101;; *) echo "$t ok";; esac
+        done
+        exit $code"#,
+        all = TESTS.join(" "),
+        failing = failing.join(" ")
+    );
+    let cargo = tree.join("cargo");
+    std::fs::write(&cargo, script).expect("written");
+    std::fs::set_permissions(&cargo, std::fs::Permissions::from_mode(0o755)).expect("set");
+    let run = Command::new("bash")
+        .arg(concat!(env!("CARGO_MANIFEST_DIR"), "/.ci/tests"))
+        .arg(&tree)
+        .env("CARGO", &cargo)
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&[run.stdout, run.stderr].concat()).into_owned();
+    (run.status.success(), text)
+}
+
+const ONE: &str = "one | it is so | issue 29\n";
+
+#[test]
+fn without_a_list_every_failure_fails() {
+    assert!(checks("none", None, &[]).0);
+    assert!(checks("empty", Some(""), &[]).0);
+    assert!(!checks("failure", None, &["two"]).0);
+}
+
+#[test]
+fn exactly_the_named_tests_are_passed_over_run_and_printed() {
+    let (passed, text) = checks("named", Some(ONE), &["one"]);
+    assert!(passed, "{text}");
+    assert!(text.contains("known red: one | it is so | issue 29"), "{text}");
+    assert!(text.contains("one FAILED") && text.contains("known red, failed: one"), "{text}");
+    assert!(!checks("other", Some(ONE), &["one", "two"]).0, "any other failure");
+    assert!(!checks("holds", Some(ONE), &["one", "one_more"]).0, "also one whose name only holds it");
+    let (passed, text) = checks("green", Some(ONE), &[]);
+    assert!(passed && text.contains("passes now, take its line out: one"), "{text}");
+    let three = format!("{ONE}two | it is so | issue 30\na::three | it is so | issue 29\n");
+    assert!(checks("three", Some(&three), &["one", "two", "a::three"]).0);
+}
+
+#[test]
+fn a_fourth_line_a_name_that_is_no_test_and_a_line_out_of_form_fail() {
+    let four: String = ["one", "two", "three", "a::three"].map(|name| ONE.replacen("one", name, 1)).concat();
+    let (passed, text) = checks("four", Some(&four), &["one"]);
+    assert!(!passed && text.contains("three at most"), "{text}");
+    for (test, name) in [("nobody", "nobody"), ("part", "on"), ("twice", "four")] {
+        let (passed, text) = checks(test, Some(&ONE.replacen("one", name, 1)), &[]);
+        assert!(!passed && text.contains("is the name of"), "{name}: {text}");
+    }
+    for (test, line) in
+        [("short", "one\n"), ("causeless", "one |  | issue 29\n"), ("issueless", "one | so | soon\n")]
+    {
+        let (passed, text) = checks(test, Some(line), &["one"]);
+        assert!(!passed && text.contains("not 'test | cause | issue N'"), "{line}: {text}");
+    }
+}
