Where answers tell of hits alone, put untold failures and waits of fills down to the source

Change, for tells = hit alone: refusals while fills come to nothing are the source's, a cache's first error of a request too (another source next, then another cache), and the longest of the last four fills' waits stands for the origin.

Three new tests fail without.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -468,8 +468,7 @@
         self.settings.flow_kb_per_s.map(|pace| 1000.0 * kb.max(0.0) / pace.max(1.0))
     }
 
-    /// A request's own sending time at full pace: as told, as its piece's last answer showed it, or the mean
-    /// of its class. Never nothing for want of word: what costs nothing has no bound.
+    /// A request's sending time at full pace: told, shown by its piece's last answer, or the class's mean.
     fn sending_ms(&self, asked: &ClientRequest) -> Millis {
         let shown = || self.objects.get(&piece(asked)?)?.shown;
         let mean = || self.class_work.get(asked.class).map_or(0.0, |(mean, _)| *mean);
@@ -570,7 +569,9 @@
         let doomed = failing.map_or(0.0, |(share, at)| share * 0.5_f64.powf((now - at) / SECOND_MS));
         // What a slow origin would begin too late is only taken where it is held: its queue stays short.
         let waits = self.origin_waits.iter().filter(|(_, at)| now - at <= RECENT_MS).map(|(wait, _)| *wait);
-        let queue = waits.reduce(f64::min).unwrap_or(0.0) / (aim - own).max(1.0);
+        // Where it isn't told which fills the origin had, the longest of the latest stands for it.
+        let queue = waits.reduce(if self.settings.detail == Detail::All { f64::min } else { f64::max });
+        let queue = queue.unwrap_or(0.0) / (aim - own).max(1.0);
         let doomed = doomed.max((queue - ORIGIN_SLOW) / (1.0 - ORIGIN_SLOW));
         let copy = pending.attempts.iter().any(|a| a.outcome.is_none()); // The origin may be what is slow.
         let held_only = fill > 0.0 && (copy || self.chance(&asked.id) < doomed);
@@ -592,8 +593,7 @@
         }
         let patience = (aim_left - expected).max(PATIENCE * (ttfb + own * crowd));
         let again = tries + 1 < most && left - patience > expected;
-        // Where nothing can be called off, a time-out must do for the check.
-        let called_off = self.settings.limits.cancelling;
+        let called_off = self.settings.limits.cancelling; // Else a time-out must do for the check.
         let timeout_ms = if again && !called_off { patience } else { left };
         let rank = if pending.seen { Keep::Middle } else { Keep::Low };
         let rank = if self.mode(asked).is_some() { Keep::High } else { rank };
@@ -611,8 +611,7 @@
             within_ms: Some(within).filter(|ms| ms.is_finite()),
         };
         let check = if again && called_off { patience } else { f64::INFINITY };
-        let (sent, outcome, blamed) = (now, None, None);
-        Some((fetch, Attempt { cache, source, sent, check, fill, outcome, blamed }))
+        Some((fetch, Attempt { cache, source, sent: now, check, fill, outcome: None, blamed: None }))
     }
 
     /// The oldest copy that will do: younger than any purge told of; past its fresh time if in doubt.
@@ -688,10 +687,9 @@
     fn cold_budget(&self, now: Millis, at: NodeAt) -> Option<Millis> {
         let (node, rules) = (&self.nodes[at], &self.settings.guarantees);
         let share = self.warmth(now, node)?;
-        let multiple =
-            if node.role == Role::Parent { rules.parent_fall_multiple } else { rules.fall_multiple };
+        let most = if node.role == Role::Parent { rules.parent_fall_multiple } else { rules.fall_multiple };
         let capacity = self.told(node).unwrap_or(self.bears[node.role as usize]);
-        Some((node.budget.0 + COLD_SPEND * multiple * share * capacity * (now - node.budget.1)).min(0.0))
+        Some((node.budget.0 + COLD_SPEND * most * share * capacity * (now - node.budget.1)).min(0.0))
     }
 
     fn cold_room(&self, now: Millis, at: NodeAt) -> bool {
@@ -802,8 +800,7 @@
                 f64::from(u8::from(same)) * (ran.sent + window_ms - now)
             }
         });
-        // Never two at once, but for one copy where that is allowed.
-        let left = left.fold(f64::INFINITY, f64::min);
+        let left = left.fold(f64::INFINITY, f64::min); // Never two at once, but for an allowed copy.
         Some(left).filter(|left| *left > 0.0 && out <= usize::from(pending.copied))
     }
 
@@ -833,9 +830,7 @@
     fn finish(&mut self, id: &RequestId) {
         let Some(pending) = self.requests.get_mut(id) else { return };
         pending.done = true;
-        if pending.attempts.iter().all(|attempt| attempt.outcome.is_some()) {
-            self.requests.remove(id);
-        }
+        drop(pending.attempts.iter().all(|a| a.outcome.is_some()).then(|| self.requests.remove(id)));
     }
 
     fn result(&mut self, now: Millis, result: &AttemptResult, actions: &mut Vec<Action>) {
@@ -856,20 +851,26 @@
         }
         // A report that says the same again is no news: a stuck one grows old.
         let busy = &mut self.nodes[cache].learned.busy;
-        let util =
-            result.report.util.filter(|util| util.is_finite() && busy.is_none_or(|(old, _)| old != *util));
-        *busy = util.map(|util| (util, now)).or(*busy);
+        let news = |util: &f64| util.is_finite() && busy.is_none_or(|(old, _)| old != *util);
+        *busy = result.report.util.filter(news).map(|util| (util, now)).or(*busy);
         let guessed = self.settings.detail == Detail::Silent && !seen && result.outcome == Outcome::Ok;
         let filled = guessed || matches!(result.note, Some(Note::Filled | Note::FilledFromOrigin));
         let sourced = result.note.is_some_and(blames_source);
+        let (untold, full) = (self.settings.detail != Detail::All, result.outcome == Outcome::Full);
         // A cache that turns all away, as one that drains does, tells nothing of fills.
-        let noted = result.note.is_some() || self.settings.detail != Detail::All;
         let unserved = matches!(result.outcome, Outcome::Timeout | Outcome::Error)
-            || (result.outcome == Outcome::Full && noted);
+            || (full && (untold || result.note.is_some()));
         let unfilled = unserved && (sourced || result.outcome != Outcome::Error);
         if cache != source && (filled || unfilled) {
             feed(&mut self.unfilled, now, f64::from(u8::from(!filled)));
         }
+        // Untold failures are the source's: refusals while fills come to nothing, and a cache's first error.
+        let failing = full && recent(self.unfilled, now) > Some(DOUBT);
+        let attempts = self.requests.get(&result.id).map_or(&[][..], |pending| &pending.attempts);
+        let again =
+            attempts.iter().filter(|a| a.cache == cache && a.outcome == Some(Outcome::Error)).count() > 1;
+        let failing = failing || result.outcome == Outcome::Error && !again;
+        let sourced = sourced || self.settings.detail == Detail::Hit && cache != source && failing;
         let told = self.settings.detail != Detail::Silent || cache == source;
         if told && matches!(result.outcome, Outcome::Ok | Outcome::Miss) {
             let share = &mut self.miss_share[usize::from(seen)];
@@ -897,7 +898,7 @@
                     self.succeeded(now, source, actions);
                     let ttfb = result.source_wait_ms.unwrap_or((result.waited_ms - own).max(0.0));
                     feed(&mut self.nodes[source].learned.ttfb, now, ttfb);
-                    if result.note == Some(Note::FilledFromOrigin) {
+                    if result.note == Some(Note::FilledFromOrigin) || untold && result.note.is_some() {
                         self.origin_waits.rotate_right(1);
                         self.origin_waits[0] = (ttfb, now);
                     }
@@ -934,9 +935,8 @@
         self.mark_peer(key.as_ref(), cache, result.outcome, filled && seen);
         if result.last || self.requests.get(&result.id).is_some_and(|pending| pending.done) {
             self.finish(&result.id);
-        } else {
-            self.dispatch(now, &result.id, actions);
         }
+        self.dispatch(now, &result.id, actions); // Unless it is done.
     }
 
     /// A served answer marks a peer ready; a miss, also one that was filled, takes the mark away.
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -346,3 +346,52 @@
     fetch(&ask(&mut driver, "d", "small", 1500.0));
     fetch(&ask(&mut driver, "e", "new", 1500.0));
 }
+
+/// Where answers tell of hits alone, as at the second deployment.
+fn told_hits_only() -> Driver {
+    Driver::new(Settings { detail: Detail::Hit, ..settings() }, fleet())
+}
+
+#[test]
+fn refusals_that_are_not_told_apart_are_not_held_against_caches_while_fills_come_to_nothing() {
+    let mut driver = told_hits_only();
+    // The origin stops: each fill is refused, at all caches alike, while what they hold is served.
+    for turn in 0..60 {
+        let first = fetch(&driver.ask(READ, &format!("new{turn}")));
+        let mut actions = driver.end(&first, 0, Outcome::Full, None);
+        let mut attempt = 0;
+        while let Some(Action::Fetch(next)) = actions.first().cloned() {
+            attempt += 1;
+            let how = if next.held_only { Outcome::Miss } else { Outcome::Full };
+            actions = driver.end(&next, attempt, how, None);
+        }
+        driver.now += 20.0;
+        driver.wait(100.0);
+    }
+    assert!(!driver.log.iter().any(|line| line.contains("ejected")), "{:?}", driver.log);
+}
+
+#[test]
+fn an_error_of_a_fill_that_is_not_told_apart_has_the_same_cache_ask_another_source_first() {
+    let mut driver = told_hits_only();
+    let first = fetch(&driver.ask(READ, "song"));
+    assert_ne!(first.source, first.cache, "it names a source");
+    let second = fetch(&driver.end(&first, 0, Outcome::Error, None));
+    assert_eq!(second.cache, first.cache, "what the home keeps is there, whoever erred");
+    assert_ne!(second.source, first.source);
+    let third = fetch(&driver.end(&second, 1, Outcome::Error, None));
+    assert_ne!(third.cache, first.cache, "twice, over two sources: the cache itself");
+}
+
+#[test]
+fn a_slow_origin_is_seen_in_the_times_of_fills_that_are_not_told_apart() {
+    let mut driver = told_hits_only();
+    // Half of the fills are a parent's own and quick; the origin's take seconds.
+    for turn in 0..8 {
+        let served = fetch(&driver.ask(READ, &format!("warm{turn}")));
+        let took = if turn % 2 == 0 { 30.0 } else { 3000.0 };
+        driver.served(&served, Note::Filled, took, None);
+    }
+    let held = (0..200).filter(|turn| fetch(&driver.ask(READ, &format!("new{turn}"))).held_only).count();
+    assert!(held > 150, "no more is asked of it than it can begin in time: {held} of 200");
+}
