Take waits for a first byte and for a deaf client from the settings, and keep given-up ids by age

And a connection remembered the last 64 ids only (back MAX_PAST): a request that was given up and tried again there after 64 others could have had the late answer of its first attempt taken for the second's, made for an older bound.

Change: 1.5 dial times, which is the same 600 ms at 400 ms; 6 s or the longest deadline; ids are kept for 10 s, 64 at least and 1,024 at most.

Ruled out: a late answer after a few others, which tests/closing.rs has passed before.

--- a/src/back/link.rs
+++ b/src/back/link.rs
@@ -1,7 +1,7 @@
 //! One connection: what is on it, how far that has come, and what its answers mean.
 
 use super::words::{note, Fields};
-use super::{Heard, CROWDED, IDLE_SHARE, MAX_PAST, MUTE_MS, STALL_MS, WHOLE_MS, WRONG_NAME};
+use super::{Heard, CROWDED, IDLE_SHARE, MAX_PAST, MUTE_MS, PAST_MS, STALL_MS, WHOLE_MS, WRONG_NAME};
 use crate::addresses::{Book, Endpoint, Race};
 use crate::api::*;
 use crate::reducer::{Answer, AttemptKey, Progress};
@@ -52,8 +52,8 @@
     pub(super) out: VecDeque<Frame>,
     pub(super) written: usize,
     pub(super) open: HashMap<String, Open>,
-    /// Ids that are no longer open.
-    pub(super) past: VecDeque<String>,
+    /// Ids that are no longer open, and since when.
+    pub(super) past: VecDeque<(String, Millis)>,
     pub(super) decoder: Decoder,
     /// When something last came.
     pub(super) heard: Millis,
@@ -84,7 +84,7 @@
             (None, None) => true,
         };
         let free = self.open.len() < streams && !self.open.contains_key(id);
-        let fresh = !self.past.iter().any(|past| past == id); // Its late answer would be taken for ours.
+        let fresh = !self.past.iter().any(|(past, _)| past == id); // Its late answer would be taken for ours.
         free && fresh && way && !self.retired && !self.mute(now)
     }
 
@@ -95,9 +95,11 @@
     }
 
     /// An id is no longer open: what still comes under it is no answer to a later request.
-    pub(super) fn over(&mut self, id: String) {
-        self.past.push_back(id);
-        if self.past.len() > MAX_PAST {
+    pub(super) fn over(&mut self, now: Millis, id: String) {
+        self.past.push_back((id, now));
+        let [least, most] = MAX_PAST;
+        let old = |past: &VecDeque<(String, Millis)>| past.front().is_some_and(|(_, at)| now - at > PAST_MS);
+        while self.past.len() > most || (self.past.len() > least && old(&self.past)) {
             self.past.pop_front();
         }
     }
@@ -117,13 +119,13 @@
 }
 
 impl Link {
-    pub(super) fn frame(&mut self, frame: &[Vec<u8>], named: bool) -> Result<Heard, Fault> {
+    pub(super) fn frame(&mut self, now: Millis, frame: &[Vec<u8>], named: bool) -> Result<Heard, Fault> {
         let [id, word, rest @ ..] = frame else { return Err(Fault("an answer is cut short")) };
         let id = std::str::from_utf8(id).map_err(|_| Fault("an id can't be read"))?;
         // An answer to what has not left whole is none: its frame would go on to open the id a second time.
         let asked = self.open.get(id).filter(|open| open.progress == Progress::WrittenWhole);
         let Some(what) = asked.map(|open| open.what) else {
-            let late = self.past.iter().any(|past| past == id);
+            let late = self.past.iter().any(|(past, _)| past == id);
             return Ok(if late { Heard::Late } else { Heard::Unknown });
         };
         let (fields, body) = match (what, rest) {
@@ -148,7 +150,7 @@
             return Err(WRONG_NAME);
         }
         self.open.remove(id);
-        self.over(id.to_owned());
+        self.over(now, id.to_owned());
         Ok(match what {
             What::Greeting => {
                 self.greeting = None;
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -37,8 +37,10 @@
 const IDLE_SHARE: f64 = 0.8;
 /// A machine that has no other way says its name within that, or who answers there isn't known.
 const GREET_MS: Millis = 500.0;
-/// Ids given up or answered under which something may still be on its way.
-const MAX_PAST: usize = 64;
+/// Ids given up or answered under which something may still be on its way: how many are kept at least, as long as they
+/// are young, and at most. A request's id comes back with each of its attempts.
+const MAX_PAST: [usize; 2] = [64, 1024];
+const PAST_MS: Millis = 10_000.0;
 
 /// What a greeting was answered with by another machine than the one that was meant.
 pub const WRONG_NAME: Fault = Fault("another machine answers there");
@@ -291,7 +293,7 @@
         } else {
             let bytes = resp::frame(&[b"STOP", id.as_bytes()]);
             link.out.push_back(Frame { bytes, opens: None, alone: false, moves: 0, leave_by: f64::INFINITY });
-            link.over(id);
+            link.over(now, id);
         }
         link.idle = now;
         Some(key)
@@ -368,17 +370,19 @@
             let frame = link.decoder.next_frame();
             begins |= matches!(frame, Ok(Some(_)));
             match frame {
-                Ok(Some(frame)) => match link.frame(&frame, self.book.rules().is_some_and(|r| r.names)) {
-                    Ok(Heard::Greeted) => {}
-                    Ok(one) => {
-                        answered |= matches!(one, Heard::Answer(..) | Heard::Probe(..));
-                        if let Heard::Answer(attempt, _) = &one {
-                            self.on.remove(attempt);
+                Ok(Some(frame)) => {
+                    match link.frame(now, &frame, self.book.rules().is_some_and(|r| r.names)) {
+                        Ok(Heard::Greeted) => {}
+                        Ok(one) => {
+                            answered |= matches!(one, Heard::Answer(..) | Heard::Probe(..));
+                            if let Heard::Answer(attempt, _) = &one {
+                                self.on.remove(attempt);
+                            }
+                            heard.push(one);
                         }
-                        heard.push(one);
+                        Err(fault) => break Some(fault),
                     }
-                    Err(fault) => break Some(fault),
-                },
+                }
                 Ok(None) => break None,
                 Err(fault) => break Some(fault),
             }
--- a/src/front.rs
+++ b/src/front.rs
@@ -28,7 +28,7 @@
 /// Clients close idle connections after 4 s. One that is idle for longer has lost its client, or is kept for
 /// good; it would hold its descriptor for ever.
 const IDLE_MS: Millis = 4500.0;
-/// A client that has taken nothing of what it is owed for longer than any waits for an answer is gone.
+/// A client that has taken nothing of what it is owed for so long, and for longer than any class's clients wait, is gone.
 const DEAF_MS: Millis = 6000.0;
 /// So young a connection isn't shed: its first bytes may be there, unread.
 const YOUNG_MS: Millis = 50.0;
@@ -103,6 +103,7 @@
     thrown: usize,
     opened: Millis,
     moved: Millis,
+    deaf_ms: Millis,
     /// Some request has come whole.
     asked: bool,
     closing: bool,
@@ -111,7 +112,12 @@
 impl Conn {
     /// A connection that was accepted now.
     pub fn new(now: Millis) -> Self {
-        Self { opened: now, moved: now, ..Self::default() }
+        Self { opened: now, moved: now, deaf_ms: DEAF_MS, ..Self::default() }
+    }
+
+    /// Its clients may wait so long for an answer.
+    pub fn patient(self, longest_ms: Millis) -> Self {
+        Self { deaf_ms: self.deaf_ms.max(longest_ms), ..self }
     }
 
     /// Takes bytes in. After a fault the connection is to be closed.
@@ -311,7 +317,7 @@
         let awaits = self.open.values().any(|open| !open.coming());
         let silent = !self.asked && self.unwritten == 0 && now - self.opened > WHOLE_MS;
         let idle = self.open.is_empty() && self.unwritten == 0 && now - self.moved > IDLE_MS;
-        let deaf = self.unwritten > 0 && now - self.moved > DEAF_MS;
+        let deaf = self.unwritten > 0 && now - self.moved > self.deaf_ms;
         if idle || deaf || (silent && !awaits) {
             return Standing::Over;
         }
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -22,9 +22,8 @@
 
 /// A request is answered this long before its client gives up: its way back, and a busy core.
 const GUARD_MS: Millis = 30.0;
-/// An attempt whose first byte hasn't left by then is pulled back: within the second that drains and purges
-/// leave, counted from the decision.
-const UNSENT_MS: Millis = 600.0;
+/// An attempt whose first byte hasn't left within so many of the settings' dial times is pulled back and decided anew.
+const UNSENT_DIALS: f64 = 1.5;
 /// Where two attempts may not be out at once, the next one leaves so long after one that was given up: its STOP, or the
 /// close of its connection, is on its way and may come later than what goes another way. The protocol page grants as
 /// much beyond each time limit.
@@ -215,6 +214,11 @@
         (self.net.sockets as f64 * CLIENT_SHARE) as usize
     }
 
+    /// The longest that a client of any class waits.
+    pub fn longest_ms(&self) -> Millis {
+        self.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max)
+    }
+
     /// Connections to machines that may be open.
     pub fn most_links(&self) -> usize {
         (self.net.sockets as f64 * MACHINE_SHARE) as usize
@@ -344,8 +348,7 @@
 
     /// How long after SIGTERM there is time to answer.
     fn patience(&self) -> Millis {
-        let longest = self.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
-        STILL_COMING_MS + longest.min(LONGEST_MS) - BEFORE_KILL_MS
+        STILL_COMING_MS + self.longest_ms().min(LONGEST_MS) - BEFORE_KILL_MS
     }
 
     fn terminate(&mut self, now: Millis) {
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -166,7 +166,8 @@
         if fetch.timeout_ms > 0.0 {
             self.at(now + fetch.timeout_ms, Due::Limit(key));
         }
-        let leave_by = now + fetch.within_ms.unwrap_or(UNSENT_MS).min(UNSENT_MS);
+        let unsent_ms = UNSENT_DIALS * self.net.dial_timeout_ms;
+        let leave_by = now + fetch.within_ms.map_or(unsent_ms, |within| within.min(unsent_ms));
         self.at(leave_by, Due::Unsent(key));
         let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone, leave_by });
         if self.plugins.is_some() {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -57,7 +57,8 @@
             match accepted {
                 Ok(sock) => {
                     self.next_front += 1;
-                    self.fronts.insert(self.next_front, (sock, Conn::new(self.now())));
+                    let conn = Conn::new(self.now()).patient(self.reducer.longest_ms());
+                    self.fronts.insert(self.next_front, (sock, conn));
                     self.dirty.insert(Source::Front(self.next_front));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -610,6 +610,31 @@
     assert!(text.contains(",nonce=c7ab15fa3c57c2968256bea080fceb6d\r\n"), "{text}");
 }
 
+#[test]
+fn an_id_that_was_given_up_is_not_used_again_there_however_many_came_after_it() {
+    let (mut links, member) = (links(), CacheId::from("m"));
+    let (key, _) = links.send(0.0, 1, &member, &call("a")).expect("room");
+    up(&mut links, 0.0, key);
+    let write = |links: &mut Links, now| {
+        while let Some(bytes) = links.output(key).map(<[u8]>::len) {
+            links.wrote(now, key, bytes);
+        }
+    };
+    write(&mut links, 0.0);
+    links.stop(10.0, 1);
+    // Two hundred requests later, within the time in which its answer may still come, it is tried again.
+    for at in 0..200 {
+        let id = format!("other{at}");
+        let (other, _) = links.send(20.0, 10 + at, &member, &call(&id)).expect("room");
+        assert_eq!(other, key, "one at a time: the same connection");
+        write(&mut links, 20.0);
+        assert_eq!(links.receive(20.0, key, &reply(&id, "DONE")).0.len(), 1);
+    }
+    let (again, new) = links.send(500.0, 2, &member, &call("a")).expect("room");
+    assert!(again != key && new, "its late answer would be taken for the new one's");
+    assert_eq!(links.receive(500.0, key, &reply("a", "DONE")).0, [Back::Late]);
+}
+
 #[test]
 fn a_mute_connection_gets_nothing_more_and_a_sound_clears_it() {
     let (mut links, member) = (links(), CacheId::from("m"));
