Tell missing, unknown and out-of-range settings in one line each at the start

Need: a setting that is missing, unknown or out of range gets one clear line at start, whichever deployment it is.

Change: src/config/check.rs, a table of the figures with their ranges and of the words that are known. Out of range, a class without name or deadline, or two of one name end the start; an unknown word is told with what is taken for it, which allows least; missing ones are told together. Without Limits.MostTries one attempt is made, where none was before: a router that serves nobody.

Ruled out: refusing a start for what is only missing, as the platform may add and leave out keys.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,8 @@
 //! The settings come as path=value pairs on the simulator's wire and as nested JSON here. The JSON is
 //! flattened to the same pairs, so that both are read by the same lines.
 
+mod check;
+
 use crate::api::*;
 use crate::board::{self, Notice};
 use crate::operator::Operator;
@@ -55,6 +57,8 @@
     pub settings: Settings,
     /// The network side's.
     pub net: Net,
+    /// What there is to say of the settings.
+    pub remarks: Vec<String>,
 }
 
 /// Where the config and the operator's file are, and what goes before them.
@@ -111,7 +115,9 @@
             Some(known) => board::notices(known).map_err(|e| format!("known: {e}"))?,
             None => (0, Vec::new()),
         };
-        let settings = settings(&options)?;
+        let remarks = check::remarks(&options)?;
+        let mut settings = settings(&options)?;
+        settings.limits.max_attempts = settings.limits.max_attempts.max(1); // None at all would serve nobody.
         if settings.classes.is_empty() {
             return Err("settings name no class".to_owned());
         }
@@ -136,6 +142,7 @@
                     .filter(|flow| *flow > 0.0 && flow.is_finite()),
             },
             settings,
+            remarks,
         })
     }
 }
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,105 @@
+//! What is said of settings at the start: one out of range ends it, one that is missing or says an unknown word is told
+//! with what stands instead. Which names there are and what they mean is the operators' wire page's.
+
+use super::{number, Fault, Options};
+use std::collections::HashSet;
+
+/// Single figures, and the most that each may be.
+const FIGURES: [(&str, f64); 18] = [
+    ("Guarantees.GraceToAnswerMs", f64::MAX),
+    ("Guarantees.StopSendingWithinMs", f64::MAX),
+    ("Guarantees.ColdFrom", 1.0),
+    ("Guarantees.ColdMs", f64::MAX),
+    ("Guarantees.FallMultiple", f64::MAX),
+    ("Guarantees.OverloadForMs", f64::MAX),
+    ("FamilyInfo.ParentColdFrom", 1.0),
+    ("FamilyInfo.UpperColdMs", f64::MAX),
+    ("FamilyInfo.UpperFallMultiple", f64::MAX),
+    ("FamilyInfo.NoticeTimeMs", f64::MAX),
+    ("FamilyInfo.GoneEverywhereMs", f64::MAX),
+    ("FamilyInfo.OneFlowKbPerS", f64::MAX),
+    ("Limits.MostTries", 1000.0),
+    ("Limits.MaxRetryAfterMs", f64::MAX),
+    ("Limits.DialTimeoutMs", f64::MAX),
+    ("Limits.ConnIdleMs", f64::MAX),
+    ("Limits.StreamsPerConn", 1e6),
+    ("Limits.MaxOpen", 1e9),
+];
+
+/// Lists of figures, one a class or a zone.
+const LISTS: [(&str, f64); 5] = [
+    ("FamilyInfo.GoodForMs", f64::MAX),
+    ("FamilyInfo.StaleForMs", f64::MAX),
+    ("FamilyInfo.StaleEarns", 1.0),
+    ("FamilyInfo.InstancesByZone", 1e6),
+    ("FamilyInfo.LinkInKbPerS", f64::MAX),
+];
+
+/// Words, those that are known, and what an unknown one is taken for: what allows least.
+const WORDS: [(&str, &[&str], &str); 5] = [
+    ("Discovery", &["push", "ask"], "push"),
+    ("FamilyInfo.Detail", &["all", "hit", "silent"], "silent"),
+    ("FamilyInfo.Sideways", &["any", "location", "silent"], "silent"),
+    ("Weights", &["silent", "nominal", "rough", "live"], "silent"),
+    ("Stats.Source", &["piggyback", "pull", "silent"], "silent"),
+];
+
+/// The remarks on settings that can be lived with; a fault for one that can't.
+pub(super) fn remarks(options: &Options) -> Result<Vec<String>, Fault> {
+    let (mut remarks, mut missing) = (Vec::new(), Vec::new());
+    for (path, most) in FIGURES {
+        match options.text(path) {
+            "" | "-" => missing.push(path.to_owned()),
+            text => within(text, path, most)?,
+        }
+    }
+    for (path, most) in LISTS {
+        options.list(path).try_for_each(|text| within(text, path, most))?;
+    }
+    let mut words: Vec<(String, &[&str], &str)> =
+        WORDS.iter().map(|(path, known, instead)| ((*path).to_owned(), *known, *instead)).collect();
+    let mut names = HashSet::new();
+    for at in 0..options.number("RequestClasses.count")?.clamp(0.0, 1e4) as usize {
+        let path = |key: &str| format!("RequestClasses.{at}.{key}");
+        let name = options.text(&path("Name"));
+        if name.is_empty() || !names.insert(name) {
+            return Err(format!("{} is missing or that of another class: {name}", path("Name")));
+        }
+        for key in ["AimMs", "HardLimitMs", "DedupWindowMs", "AimStretch", "Worth"] {
+            options.list(&path(key)).try_for_each(|text| within(text, &path(key), f64::MAX))?;
+        }
+        within(options.text(&path("LateWorth")), &path("LateWorth"), 1.0)?;
+        if options.number(&path("HardLimitMs"))? == 0.0 {
+            return Err(format!("{} is missing: nobody of {name} would be served", path("HardLimitMs")));
+        }
+        words.push((path("Repeat"), &["retryable", "dedup", "fragile"], "fragile"));
+        if options.text(&path("Repeat")) == "dedup" {
+            words.push((path("DedupScope"), &["all", "zone", "cell"], "cell"));
+            if options.number(&path("DedupWindowMs"))? == 0.0 {
+                missing.push(path("DedupWindowMs"));
+            }
+        }
+    }
+    for (path, known, instead) in words {
+        match options.text(&path) {
+            "" | "-" => missing.push(path),
+            text if known.contains(&text) => {}
+            text => remarks.push(format!("{path} is unknown: {text}; {instead} stands")),
+        }
+    }
+    let zone = options.text("Az");
+    if !options.list("Localities").any(|known| known == zone) {
+        remarks.push(format!("Az is none of the Localities: {zone}"));
+    }
+    if !missing.is_empty() {
+        remarks.push(format!("missing, defaults stand: {}", missing.join(", ")));
+    }
+    Ok(remarks)
+}
+
+fn within(text: &str, path: &str, most: f64) -> Result<(), Fault> {
+    if matches!(text, "" | "-") || (0.0..=most).contains(&number(text, path)?) {
+        return Ok(());
+    }
+    Err(format!("{path} is out of range: {text}"))
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -236,6 +236,9 @@
     state.join_state();
     state.work();
     state.say_ops();
+    for remark in &config.remarks {
+        say!(always; "settings: {remark}");
+    }
     say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
     while !state.over() {
         let wait = Duration::from_secs_f64((state.wake() - state.now()).clamp(0.0, IDLE_MS) / 1000.0);
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -216,6 +216,36 @@
     assert_eq!((swap.repeat, swap.fresh_ms, swap.uncached), (Repeat::Fragile, Some(8000.0), true));
 }
 
+#[test]
+fn settings_that_are_missing_or_say_unknown_words_are_told_with_what_stands_instead() {
+    let good = config(|json| json).expect("a good config");
+    let [missing] = &good.remarks[..] else { panic!("{:?}", good.remarks) };
+    assert!(
+        missing.starts_with("missing, defaults stand: ") && missing.contains("Guarantees.ColdMs"),
+        "{missing}"
+    );
+    assert!(!missing.contains("MostTries") && !missing.contains("DialTimeoutMs"), "{missing}");
+    let changed = config(|json| {
+        let json = json.replace("\"fragile\"", "\"sometimes\"").replace("\"Az\":\"east\"", "\"Az\":\"moon\"");
+        let json = json.replace("\"retryable\"", "\"dedup\"").replace("\"MostTries\":6,", "");
+        json.replace("\"MachineTypes\"", "\"Discovery\":\"rumour\",\"NewKey\":[1],\"MachineTypes\"")
+    });
+    let changed = changed.expect("it can be lived with");
+    for told in [
+        "RequestClasses.1.Repeat is unknown: sometimes; fragile stands",
+        "Discovery is unknown: rumour; push stands",
+        "Az is none of the Localities: moon",
+        "RequestClasses.0.DedupScope",
+        "RequestClasses.0.DedupWindowMs",
+        "Limits.MostTries",
+    ] {
+        assert!(changed.remarks.iter().any(|remark| remark.contains(told)), "{told}: {:?}", changed.remarks);
+    }
+    assert!(!changed.remarks.iter().any(|remark| remark.contains("NewKey")), "further keys may be added");
+    assert_eq!(changed.settings.classes[1].repeat, Repeat::Fragile);
+    assert_eq!(changed.settings.limits.max_attempts, 1, "none at all would serve nobody");
+}
+
 #[test]
 fn a_bad_config_is_told_in_one_line() {
     for (from, to, why) in [
@@ -226,6 +256,12 @@
         ("\"leaving\"", "\"resting\"", "known: s-1 has the status"),
         ("\"RequestClasses\"", "\"Classes\"", "no class"),
         ("300.0", "\"soon\"", "Limits.DialTimeoutMs is not a number"),
+        ("300.0", "-300.0", "Limits.DialTimeoutMs is out of range: -300.0"),
+        ("\"MostTries\":6", "\"MostTries\":1e9", "Limits.MostTries is out of range"),
+        ("[0.0,8000.0]", "[0.0,-1]", "FamilyInfo.GoodForMs is out of range: -1"),
+        ("\"HardLimitMs\":3000.0}", "\"Deadline\":3000.0}", "RequestClasses.0.HardLimitMs is missing"),
+        ("\"swap\"", "\"page\"", "RequestClasses.1.Name is missing or that of another class"),
+        ("\"Worth\":3.0", "\"LateWorth\":3.0", "RequestClasses.1.LateWorth is out of range: 3.0"),
     ] {
         let error = config(|json| json.replacen(from, to, 1)).expect_err(why);
         assert!(error.contains(why) && !error.contains('\n'), "{why}: {error}");
