Name the discovery watch, endpoints and hedged requests by the field's terms

Need: names are the field's terms where the code is touched; the platform's words stay on its wire, in settings and codecs.

Change: board::Follower is DiscoveryWatch; the counters board_faults and shelf_faults, which operators see at exit and on SIGUSR1, are watch_faults and endpoint_faults; the module's second copies are hedges.

Ruled out: renaming Limits.SecondCopies and the words of the operators' calls, which are the settings' and the wire's.

--- a/src/board.rs
+++ b/src/board.rs
@@ -232,7 +232,7 @@
 
 /// Follows the board: what to ask, what an answer holds that is new, when to ask again.
 #[derive(Debug)]
-pub struct Follower {
+pub struct DiscoveryWatch {
     last: u64,
     seed: u64,
     bytes: Vec<u8>,
@@ -243,7 +243,7 @@
     pub due: Millis,
 }
 
-impl Follower {
+impl DiscoveryWatch {
     /// Follows from the last event that is known; `seed` has routers come apart.
     pub fn new(last: u64, seed: u64) -> Self {
         Self { last, seed, bytes: Vec::new(), failures: 0, gaps: 0, polled: None, due: 0.0 }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -75,16 +75,16 @@
     reloads,
     /// Configs that could not be read, so that nothing changed.
     reloads_refused,
-    /// Notice-board polls that failed.
-    board_faults,
+    /// Polls of the discovery watch that failed.
+    watch_faults,
     /// Client connections closed for a malformed record.
     client_faults,
     /// Client connections closed since their client was silent, deaf or gone.
     clients_stale,
     /// Idle or silent ones closed early, to make room for others.
     clients_shed,
-    /// Shelf connections closed for an unreadable frame.
-    shelf_faults,
+    /// Connections to endpoints closed for an unreadable frame.
+    endpoint_faults,
     /// Connections opened to machines.
     dials,
     /// Of these, those refused or not up in time.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,8 +52,8 @@
 const BEARS_FADE: f64 = 0.99; // What machines have borne fades by this a second: they may come back cold.
 const COLD_SPEND: f64 = 0.6; // Part of the cold-start budget that is spent: chance needs the rest.
 const PURGE_SLACK_MS: Millis = 2.0; // How much younger than a purge a copy must be: clocks and rounding.
-/// Second copies that a request earns, and the most saved up: where more is slow, it is load.
-const COPIES: [f64; 2] = [0.02, 10.0];
+/// Hedged requests that a request earns, and the most saved up: where more is slow, it is load.
+const HEDGES: [f64; 2] = [0.02, 10.0];
 const WORK_GAIN: f64 = 0.02; // Weight of one request in its class's mean sending time.
 
 /// The design page's object: what a cache keeps one copy of. One home for all its pieces would fill its link.
@@ -196,7 +196,7 @@
     arrived: Millis,
     deadline: Millis,
     attempts: Vec<Attempt>,
-    copied: bool,
+    hedged: bool,
     done: bool,
 }
 
@@ -231,8 +231,8 @@
     unfilled: Option<Seen>,
     /// The origin's latest times to first byte, also where a parent asked it: a queue is in all of them.
     origin_waits: [Seen; 4],
-    /// Second copies that may still be sent.
-    copies: f64,
+    /// Hedged requests that may still be sent.
+    hedges: f64,
 }
 
 impl Router {
@@ -433,11 +433,11 @@
             return;
         }
         let seen = self.demand(now, &asked, actions);
-        self.copies = (self.copies + COPIES[0]).min(COPIES[1]);
+        self.hedges = (self.hedges + HEDGES[0]).min(HEDGES[1]);
         let told = asked.size_kb.and_then(|kb| self.at_pace(kb));
         told.into_iter().for_each(|own| self.heard(asked.class, own));
         let (deadline, attempts) = (now + asked.budget_ms.max(0.0), Vec::new());
-        let pending = Pending { asked, seen, arrived: now, deadline, attempts, copied: false, done: false };
+        let pending = Pending { asked, seen, arrived: now, deadline, attempts, hedged: false, done: false };
         self.requests.insert(id.clone(), pending);
         self.dispatch(now, &id, actions);
     }
@@ -535,9 +535,9 @@
             }
         }
         for id in lost {
-            let Some(pending) = self.requests.get_mut(&id).filter(|_| self.copies >= 1.0) else { break };
-            pending.copied = true;
-            self.copies -= 1.0;
+            let Some(pending) = self.requests.get_mut(&id).filter(|_| self.hedges >= 1.0) else { break };
+            pending.hedged = true;
+            self.hedges -= 1.0;
             self.dispatch(now, &id, actions);
         }
         for (id, attempt, at) in due {
@@ -771,14 +771,14 @@
         pick.or_else(abroad).or(origin)
     }
 
-    /// Whether a copy may go out: its cache has done later ones, and its source's latest didn't take so long.
+    /// Whether a hedge may go out: its cache has done later ones, and its source's latest didn't take so long.
     fn lost(&self, now: Millis, pending: &Pending, Attempt { cache, source, sent, .. }: Attempt) -> bool {
         let spare = now - sent - PATIENCE * self.sending_ms(&pending.asked);
         let class = self.settings.classes.get(pending.asked.class).map(|class| class.repeat);
         let Learned { ttfb, done, .. } = &self.nodes[source].learned;
         let quick = recent(*ttfb, now).is_none_or(|ms| ms < TTFB_START_MS) && self.crowd(now, cache) <= 1.0;
         let later = |(at, took): &&(Millis, Millis)| *at > sent && *took < spare;
-        let may = self.settings.limits.second_copies && class == Some(Repeat::Retryable) && !pending.copied;
+        let may = self.settings.limits.second_copies && class == Some(Repeat::Retryable) && !pending.hedged;
         let usual = done.iter().all(|(_, took)| *took < spare);
         may && quick && usual && self.nodes[cache].learned.done.iter().filter(later).count() > 2
     }
@@ -800,8 +800,8 @@
                 f64::from(u8::from(same)) * (ran.sent + window_ms - now)
             }
         });
-        let left = left.fold(f64::INFINITY, f64::min); // Never two at once, but for an allowed copy.
-        Some(left).filter(|left| *left > 0.0 && out <= usize::from(pending.copied))
+        let left = left.fold(f64::INFINITY, f64::min); // Never two at once, but a hedge.
+        Some(left).filter(|left| *left > 0.0 && out <= usize::from(pending.hedged))
     }
 
     /// Answers a request that nothing can help any more, at once: refused where a retry is harmless.
--- a/src/runtime/board.rs
+++ b/src/runtime/board.rs
@@ -10,14 +10,14 @@
 impl Runtime {
     /// A poll is due, or the one that is out has taken too long.
     pub(super) fn poll_board(&mut self) {
-        if self.follower.waiting() {
+        if self.watch.waiting() {
             self.board_failed("no answer in time");
-            if self.follower.due > self.now() {
+            if self.watch.due > self.now() {
                 return;
             }
         }
         let now = self.now();
-        let bytes = self.follower.poll(now, self.board_at);
+        let bytes = self.watch.poll(now, self.board_at);
         if let Some((_, out)) = &mut self.board {
             *out = bytes;
         } else {
@@ -51,8 +51,8 @@
                 Err(Io::Over(why)) => return self.board_failed(why),
                 Err(_) => return,
             };
-            let waiting = self.follower.waiting();
-            let fed = if waiting { self.follower.feed(now, &self.buffer[..bytes], eof) } else { Ok(None) };
+            let waiting = self.watch.waiting();
+            let fed = if waiting { self.watch.feed(now, &self.buffer[..bytes], eof) } else { Ok(None) };
             let stray = match fed {
                 Ok(Some(news)) => {
                     let unix_ms = unix_ms();
@@ -68,12 +68,12 @@
             };
             if stray {
                 // It would be taken for the answer to the next poll.
-                self.reducer.counters.board_faults += 1;
+                self.reducer.counters.watch_faults += 1;
                 say!("the board says more than it was asked for: its connection ends");
                 return self.drop_board();
             }
             if eof {
-                if self.follower.waiting() {
+                if self.watch.waiting() {
                     return self.board_failed("closed");
                 }
                 return self.drop_board();
@@ -90,9 +90,9 @@
     /// The poll has failed: what is known stands, and it is resumed from the last event.
     pub(super) fn board_failed(&mut self, why: &str) {
         self.drop_board();
-        self.reducer.counters.board_faults += 1;
+        self.reducer.counters.watch_faults += 1;
         say!("the board's poll failed: {why}");
         let now = self.now();
-        self.follower.failed(now);
+        self.watch.failed(now);
     }
 }
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -197,7 +197,7 @@
                 if fault == back::WRONG_NAME {
                     return Some(WRONG_NAME);
                 }
-                self.reducer.counters.shelf_faults += 1;
+                self.reducer.counters.endpoint_faults += 1;
                 say!("a machine's answer can't be read: {}", fault.0);
                 return Some("unreadable");
             }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -13,7 +13,7 @@
 use crate::addresses::{DialKey, Endpoint};
 use crate::api::Millis;
 use crate::back::{LinkKey, Links};
-use crate::board::Follower;
+use crate::board::DiscoveryWatch;
 use crate::config::{Config, Sources};
 use crate::front::Conn;
 use crate::operator::Operator;
@@ -131,7 +131,7 @@
     listens: SocketAddr,
     board_at: SocketAddr,
     board: Option<(Sock, Vec<u8>)>,
-    follower: Follower,
+    watch: DiscoveryWatch,
     /// Connections with something to write or, after their turn, to read.
     dirty: BTreeSet<Source>,
     exit_by: Option<Millis>,
@@ -216,7 +216,7 @@
         listens: config.listen,
         board_at: config.board,
         board: None,
-        follower: Follower::new(config.rev, config.seed),
+        watch: DiscoveryWatch::new(config.rev, config.seed),
         dirty: BTreeSet::new(),
         exit_by: None,
         buffer: vec![0; 64 * 1024],
@@ -286,7 +286,7 @@
         if !self.dirty.is_empty() {
             return 0.0;
         }
-        let board = Some(self.follower.due);
+        let board = Some(self.watch.due);
         let seat = self.seat.as_ref().and_then(fleet::Seat::due_in).map(|wait| self.now() + wait);
         let (links, lingering) = (self.links.next_due(), self.lingering_due());
         let dues = [self.reducer.next_due(), links, board, self.accept_from, self.exit_by, seat, lingering];
@@ -349,7 +349,7 @@
             self.sweep_callers(now);
             self.take_state();
         }
-        if self.follower.due <= self.now() {
+        if self.watch.due <= self.now() {
             self.poll_board();
         }
         if self.reducer.next_due().is_some_and(|at| at <= self.now()) {
@@ -500,7 +500,7 @@
             // The old board tells nothing more: what it has begun to say is asked for again, at the new one.
             self.board_at = config.board;
             self.drop_board();
-            self.follower.moved(self.now());
+            self.watch.moved(self.now());
         }
     }
 }
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -1,7 +1,7 @@
 //! The notice board's answers, wherever they are split, and the config that holds its first events.
 
 use frostturn::api::*;
-use frostturn::board::{Follower, News, Word, LINGER_MS, POLL_SLACK_MS};
+use frostturn::board::{DiscoveryWatch, News, Word, LINGER_MS, POLL_SLACK_MS};
 use frostturn::config::Config;
 
 fn answer(body: &str) -> Vec<u8> {
@@ -34,7 +34,7 @@
         second.len()
     );
     for bytes in [plain, chunked.into_bytes()] {
-        let mut follower = Follower::new(3, 1);
+        let mut follower = DiscoveryWatch::new(3, 1);
         let asked = follower.poll(0.0, ([127, 0, 0, 1], 9092).into());
         assert!(asked.starts_with(b"GET /board/poll?watch=3&linger="));
         let mut news = None;
@@ -53,7 +53,7 @@
 
 #[test]
 fn events_come_in_order_once_and_a_gap_is_asked_for_again() {
-    let mut follower = Follower::new(40, 1);
+    let mut follower = DiscoveryWatch::new(40, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut feed = |notices: &[String]| {
         follower.poll(0.0, address);
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_failed_poll_is_resumed_at_once_and_then_more_and_more_slowly() {
-    let mut follower = Follower::new(5, 1);
+    let mut follower = DiscoveryWatch::new(5, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut waits = Vec::new();
     for bad in
@@ -95,7 +95,7 @@
 #[test]
 fn two_silences_in_a_row_are_over_before_what_the_board_says_counts_as_told() {
     // The platform's page: 7 s, whether it has come or not. Endpoints that drain get no second more in the settings.
-    let mut follower = Follower::new(5, 1);
+    let mut follower = DiscoveryWatch::new(5, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut now = 0.0;
     for _ in 0..2 {
@@ -113,7 +113,7 @@
     // The board refuses all calls for 8 s, from one moment on.
     let mut calls: Vec<f64> = Vec::new();
     for seed in 0..300 {
-        let mut follower = Follower::new(5, seed);
+        let mut follower = DiscoveryWatch::new(5, seed);
         follower.failed(0.0);
         while follower.due < 8000.0 {
             let now = follower.due;
@@ -128,7 +128,7 @@
     assert!(most < Some(130), "a hundredth of a second's calls each, not all at once: {most:?}");
     let mut moved: Vec<u64> = (0..300)
         .map(|seed| {
-            let mut follower = Follower::new(5, seed);
+            let mut follower = DiscoveryWatch::new(5, seed);
             follower.moved(0.0);
             (follower.due / 10.0) as u64
         })
@@ -139,7 +139,7 @@
 
 #[test]
 fn numbers_that_begin_anew_are_followed_and_the_whole_list_comes_as_one() {
-    let mut follower = Follower::new(9, 1);
+    let mut follower = DiscoveryWatch::new(9, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     follower.poll(0.0, address);
     let older = format!(r#"{{"rev":2,"notices":[{}]}}"#, purge(2));
@@ -168,7 +168,7 @@
 
 #[test]
 fn what_cannot_be_read_of_an_event_allows_nothing_and_more_than_was_asked_for_is_told() {
-    let mut follower = Follower::new(0, 1);
+    let mut follower = DiscoveryWatch::new(0, 1);
     follower.poll(0.0, ([127, 0, 0, 1], 9092).into());
     let entries = r#"{"name":"s-1","address":"127.0.0.9:7001","status":"resting"},{"name":"s-2","status":"active"},
         {"status":"active"}"#;
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -44,7 +44,7 @@
     for _ in 0..3 {
         endpoint.write(conn, b"*4\r\n$16\r\n0000").expect("it is still read");
     }
-    assert!(router.end().contains("shelf_faults=0"));
+    assert!(router.end().contains("endpoint_faults=0"));
 }
 
 #[test]
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -255,7 +255,7 @@
     client.ask(2, "page", 1);
     end.serve(&end.asked());
     assert_eq!(client.status(2), 200);
-    until("some polls have failed", || router.count("board_faults") > 2);
+    until("some polls have failed", || router.count("watch_faults") > 2);
     let board = Board::at(&address);
     let mut poll = board.poll();
     poll.tell(2, &[pool(2, false, &endpoint("e-1", &end.address, "left"))]);
