--- a/src/policy.rs
+++ b/src/policy.rs
@@ -771,7 +771,7 @@
         pick.or_else(abroad).or(origin)
     }
 
-    /// Whether a hedge may go out: its cache has done later ones, and its source's latest didn't take so long.
+    /// Whether a hedge may go out: its cache did later ones, and its source's latest didn't take so long.
     fn lost(&self, now: Millis, pending: &Pending, Attempt { cache, source, sent, .. }: Attempt) -> bool {
         let spare = now - sent - PATIENCE * self.sending_ms(&pending.asked);
         let class = self.settings.classes.get(pending.asked.class).map(|class| class.repeat);
