--- a/src/policy.rs
+++ b/src/policy.rs
@@ -554,8 +554,7 @@
         let own = self.sending_ms(asked);
         let aim = (class.aim_ms + class.aim_stretch * own).min(class.deadline_ms);
         let aim_left = pending.arrived + aim - now;
-        // Without a cache here that is usable and not too cold, where allowed, the parent pick serves.
-        let bypass = self.settings.bypass_allowed;
+        let bypass = self.settings.bypass_allowed; // Without a usable cache here the parent pick serves then.
         let home = self.pick_cache(now, pending).filter(|at| !bypass || self.usable(now, *at));
         let lost = bypass && home.is_none();
         let picked = self.pick_source(now, pending, lost);
@@ -568,10 +567,11 @@
         let failing = self.unfilled.filter(|(share, _)| *share > DOUBT);
         let doomed = failing.map_or(0.0, |(share, at)| share * 0.5_f64.powf((now - at) / SECOND_MS));
         // What a slow origin would begin too late is only taken where it is held: its queue stays short.
-        let waits = self.origin_waits.iter().filter(|(_, at)| now - at <= RECENT_MS).map(|(wait, _)| *wait);
-        // Where it isn't told which fills the origin had, the longest of the latest stands for it.
-        let queue = waits.reduce(if self.settings.detail == Detail::All { f64::min } else { f64::max });
-        let queue = queue.unwrap_or(0.0) / (aim - own).max(1.0);
+        let waits = self.origin_waits.iter().filter(|(_, at)| now - at <= RECENT_MS);
+        let mut waits: Vec<Millis> = waits.map(|(wait, _)| *wait).collect();
+        waits.sort_by(f64::total_cmp);
+        let at = if self.settings.detail == Detail::All { 0 } else { 2 }; // Untold: many are a parent's own.
+        let queue = waits.get(at).copied().unwrap_or(0.0) / (aim - own).max(1.0);
         let doomed = doomed.max((queue - ORIGIN_SLOW) / (1.0 - ORIGIN_SLOW));
         let copy = pending.attempts.iter().any(|a| a.outcome.is_none()); // The origin may be what is slow.
         let held_only = fill > 0.0 && (copy || self.chance(&asked.id) < doomed);
