Share what the tests on sockets had twice

Cause: the rig, retries, watch and serve each had the same call and the same wait for a request at one of two endpoints. Change: tests/rig/mod.rs has both. Ruled out: nothing.

--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use frostturn::resp;
-use rig::{pass, until, Asked, Client, Endpoint, Event, Router, Site};
+use rig::{pass, take, until, Client, Endpoint, Event, Router, Site};
 
 /// An operator's file that has each endpoint greeted: nothing leaves before the greeting is answered, so that a test
 /// decides when that is.
@@ -38,22 +38,6 @@
     end.write(*conn, &frame).expect("written");
 }
 
-/// Takes a request at whichever of two endpoints it comes to.
-fn take(ends: &[(&'static str, Endpoint); 2]) -> (usize, Asked) {
-    let mut came = None;
-    until("a request", || {
-        for (at, (_, end)) in ends.iter().enumerate() {
-            for event in end.so_far() {
-                if let Event::Frame(conn, parts) = event {
-                    came = Some((at, Asked { conn, id: parts[1].clone(), fields: parts[2].clone() }));
-                }
-            }
-        }
-        came.is_some()
-    });
-    came.expect("one came")
-}
-
 fn two() -> [(&'static str, Endpoint); 2] {
     [("e-1", Endpoint::new()), ("e-2", Endpoint::new())]
 }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -251,6 +251,22 @@
     pub fields: String,
 }
 
+/// Takes a request at whichever of these endpoints it comes to: whose, and the request.
+pub fn take(ends: &[(&'static str, Endpoint)]) -> (usize, Asked) {
+    let mut came = None;
+    until("a request", || {
+        for (at, (_, end)) in ends.iter().enumerate() {
+            for event in end.so_far() {
+                if let Event::Frame(conn, parts) = event {
+                    came = Some((at, Asked { conn, id: parts[1].clone(), fields: parts[2].clone() }));
+                }
+            }
+        }
+        came.is_some()
+    });
+    came.expect("one came")
+}
+
 /// An endpoint that does what it is told: it holds each answer until the test gives it.
 pub struct Endpoint {
     pub address: String,
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -1,7 +1,10 @@
 //! The program as a process, on loopback sockets whose ports the system picks.
 
+mod rig;
+
 use frostturn::fastcgi::{self, kind, Decoder};
 use frostturn::resp;
+use rig::call;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -346,17 +349,6 @@
     served.end();
 }
 
-/// One call to where operators call; the answer's status.
-fn call(address: &str, method: &str, path: &str, body: &str) -> u16 {
-    let mut stream = TcpStream::connect(address).expect("it listens");
-    let length = body.len();
-    write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
-        .expect("written");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("an answer, and a close");
-    text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
-}
-
 /// Starts one with a place for operators' calls; that place.
 fn start_with_ops(test: &str, machine: &str, listen: &str) -> (Served, String) {
     start_below(&std::env::temp_dir(), test, machine, listen)
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use frostturn::resp;
-use rig::{endpoint, pool, until, Board, Client, Endpoint, Event, Poll, Router, Site};
+use rig::{endpoint, pool, take, until, Board, Client, Endpoint, Event, Poll, Router, Site};
 use std::io::Write;
 
 fn watched(board: &Board, endpoints: &[(&'static str, &Endpoint)]) -> Site {
@@ -73,22 +73,6 @@
     router.end();
 }
 
-/// Two endpoints of which the first takes a request: that one's name, the request, and the two.
-fn asked_one(ends: &[(&'static str, Endpoint); 2]) -> (usize, rig::Asked) {
-    let mut came = None;
-    until("a request", || {
-        for (at, (_, end)) in ends.iter().enumerate() {
-            for event in end.so_far() {
-                if let Event::Frame(conn, parts) = event {
-                    came = Some((at, rig::Asked { conn, id: parts[1].clone(), fields: parts[2].clone() }));
-                }
-            }
-        }
-        came.is_some()
-    });
-    came.expect("one came")
-}
-
 #[test]
 fn a_drain_in_the_wake_of_a_send_or_a_retry_keeps_both_from_the_endpoint_that_leaves() {
     let board = Board::new();
@@ -98,13 +82,13 @@
     let mut poll = board.poll();
     let mut client = Client::connect(&router);
     client.ask(1, "page", 1);
-    let (home, asked) = asked_one(&ends);
+    let (home, asked) = take(&ends);
     // The home leaves while a request for it comes: that goes to the other one, which has not been dialled yet.
     router.hold();
     poll.tell(2, &[pool(2, false, &endpoint(ends[home].0, &ends[home].1.address, "leaving"))]);
     client.ask(2, "page", 2);
     router.go();
-    let (other, second) = asked_one(&ends);
+    let (other, second) = take(&ends);
     assert_eq!(other, 1 - home);
     ends[other].1.serve(&second);
     ends[home].1.serve(&asked);
@@ -114,13 +98,13 @@
     poll.tell(3, &[pool(3, false, &endpoint(ends[home].0, &ends[home].1.address, "active"))]);
     assert!(poll.again());
     client.ask(3, "page", 3);
-    let (at, third) = asked_one(&ends);
+    let (at, third) = take(&ends);
     assert_eq!(at, home);
     router.hold();
     ends[home].1.reply(&third, "BROKE", "-", b"");
     poll.tell(4, &[pool(4, false, &endpoint(ends[other].0, &ends[other].1.address, "leaving"))]);
     router.go();
-    let (at, again) = asked_one(&ends);
+    let (at, again) = take(&ends);
     assert_eq!((at, &again.id), (home, &third.id));
     ends[home].1.serve(&again);
     assert_eq!(client.status(3), 200);
