--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -44,7 +44,8 @@
                 (in_all, *own) = (in_all - 1, *own - 1);
                 todo.push(Dialling::Close(dial));
             }
-            if link.retired {
+            // Nobody waits for it any more: what was begun may come up and rest, but nothing is dialled anew.
+            if link.retired || (link.open.is_empty() && link.trial.is_none()) {
                 continue;
             }
             let most = self.book.most_dials(now, &link.member);
@@ -112,7 +113,13 @@
             let bytes = resp::frame(&[b"HELO", tag.as_bytes()]);
             let progress = Progress::NotConnected;
             link.open.insert(tag.clone(), Open { what: What::Greeting, progress, alone: false });
-            link.out.push_front(Frame { bytes, opens: Some(tag), alone: false, moves: 0 });
+            link.out.push_front(Frame {
+                bytes,
+                opens: Some(tag),
+                alone: false,
+                moves: 0,
+                leave_by: f64::INFINITY,
+            });
             link.greeting = Some(now + wait);
         }
         let mut todo = Vec::new();
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -61,6 +61,8 @@
     pub fetch: Fetch,
     /// It must not be repeated, so that it had better share nothing with others that could break.
     pub alone: bool,
+    /// Its first byte leaves by then, on the clock of the reducer's inputs, or it isn't sent.
+    pub leave_by: Millis,
 }
 
 /// What a machine answered.
@@ -89,6 +91,8 @@
     Lost(Progress),
     /// It was not sent, as there was no room for another connection: that says nothing about its machine.
     NoRoom,
+    /// It was not sent, as its time to leave was over when its turn came: that says nothing about its machine.
+    Overdue,
 }
 
 /// What the reducer is told.
@@ -159,6 +163,8 @@
     Due,
     /// The operators want it to end.
     Terminate,
+    /// [`Effect::StopListening`] is carried out, and what had come by then is read.
+    DoorShut,
     /// What operators have taken out, as it is saved for all processes of this router.
     HandedOver {
         /// Those machines.
@@ -277,7 +283,7 @@
     },
     /// A line for the operators.
     Log(String),
-    /// Take no more connections.
+    /// Take no more connections, read what has come by now, and say [`Input::DoorShut`].
     StopListening,
     /// All is answered: send what is left and end, at the latest by then.
     Exit {
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -26,7 +26,7 @@
     /// Queues an attempt.
     pub(super) fn send(&mut self, attempt: AttemptKey, member: &CacheId, call: &Call) {
         match self.links.send(self.now(), attempt, member, call) {
-            Ok((key, new)) => self.queued(key, new),
+            Ok((key, _)) => self.queued(key),
             Err(Unsent::NoRoom) => self.inbox.push(Input::Ended { attempt, end: End::NoRoom }),
             Err(Unsent::NoPath) => {
                 say!({ machine = %member, attempt } "no address of {member} is its own now");
@@ -35,12 +35,10 @@
         }
     }
 
-    /// Something is queued for a machine: dials if the connection is new.
-    pub(super) fn queued(&mut self, key: LinkKey, new: bool) {
+    /// Something is queued for a machine. It leaves, and is dialled for, once all that the wake has brought is heard:
+    /// its client may have left, or its machine.
+    pub(super) fn queued(&mut self, key: LinkKey) {
         self.dirty.insert(Source::Link(key));
-        if new {
-            self.dial_due();
-        }
     }
 
     /// Dials and closes dials as the races ask for it, until none is due.
@@ -138,7 +136,7 @@
         let now = self.now();
         let (left, moved) = self.links.mute(now);
         left.iter().for_each(say_left);
-        moved.into_iter().for_each(|key| self.queued(key, true));
+        moved.into_iter().for_each(|key| self.queued(key));
         self.dial_due();
         for (key, why) in self.links.expired(now) {
             self.link_down(key, why);
@@ -209,7 +207,13 @@
     pub(super) fn write_link(&mut self, key: LinkKey) -> Option<&'static str> {
         let now = self.now();
         let sock = self.link_socks.get_mut(&key)?;
-        while let Some(bytes) = self.links.output(key).filter(|_| sock.writable) {
+        loop {
+            // The last point where it can be stopped: what is overdue by now doesn't begin to leave.
+            if let Some(attempt) = self.links.overdue(now, key) {
+                self.inbox.push(Input::Ended { attempt, end: End::Overdue });
+                continue;
+            }
+            let Some(bytes) = self.links.output(key).filter(|_| sock.writable) else { break };
             match sock.write(bytes) {
                 Ok(bytes) => {
                     if let Some((attempt, progress)) = self.links.wrote(now, key, bytes) {
@@ -226,7 +230,11 @@
     pub(super) fn link_down(&mut self, key: LinkKey, why: &'static str) {
         let now = self.now();
         if let Some(sock) = self.link_socks.remove(&key) {
-            self.handle.remove(sock.token);
+            match why {
+                // Its peer is well, and may have begun to say something: it isn't reset under that.
+                "idle" => self.linger(Source::Link(key), sock),
+                _ => self.handle.remove(sock.token),
+            }
         }
         let machine = self.links.member(key).map(CacheId::to_string).unwrap_or_default();
         let endpoint = self.links.endpoint(key).cloned();
@@ -254,7 +262,7 @@
             self.inbox.push(Input::Ended { attempt, end: End::Lost(progress) });
         }
         ended.probes.into_iter().for_each(|member| self.probe_failed(member));
-        ended.moved.into_iter().for_each(|to| self.queued(to, true));
+        ended.moved.into_iter().for_each(|to| self.queued(to));
     }
 }
 
