--- a/tests/board.rs
+++ b/tests/board.rs
@@ -1,7 +1,7 @@
 //! The notice board's answers, wherever they are split, and the config that holds its first events.
 
 use frostturn::api::*;
-use frostturn::board::{Follower, News, Word, LINGER_MS, POLL_SLACK_MS};
+use frostturn::board::{DiscoveryWatch, News, Word, LINGER_MS, POLL_SLACK_MS};
 use frostturn::config::Config;
 
 fn answer(body: &str) -> Vec<u8> {
@@ -34,7 +34,7 @@
         second.len()
     );
     for bytes in [plain, chunked.into_bytes()] {
-        let mut follower = Follower::new(3, 1);
+        let mut follower = DiscoveryWatch::new(3, 1);
         let asked = follower.poll(0.0, ([127, 0, 0, 1], 9092).into());
         assert!(asked.starts_with(b"GET /board/poll?watch=3&linger="));
         let mut news = None;
@@ -53,7 +53,7 @@
 
 #[test]
 fn events_come_in_order_once_and_a_gap_is_asked_for_again() {
-    let mut follower = Follower::new(40, 1);
+    let mut follower = DiscoveryWatch::new(40, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut feed = |notices: &[String]| {
         follower.poll(0.0, address);
@@ -74,7 +74,7 @@
 
 #[test]
 fn a_failed_poll_is_resumed_at_once_and_then_more_and_more_slowly() {
-    let mut follower = Follower::new(5, 1);
+    let mut follower = DiscoveryWatch::new(5, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut waits = Vec::new();
     for bad in
@@ -95,7 +95,7 @@
 #[test]
 fn two_silences_in_a_row_are_over_before_what_the_board_says_counts_as_told() {
     // The platform's page: 7 s, whether it has come or not. Endpoints that drain get no second more in the settings.
-    let mut follower = Follower::new(5, 1);
+    let mut follower = DiscoveryWatch::new(5, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     let mut now = 0.0;
     for _ in 0..2 {
@@ -113,7 +113,7 @@
     // The board refuses all calls for 8 s, from one moment on.
     let mut calls: Vec<f64> = Vec::new();
     for seed in 0..300 {
-        let mut follower = Follower::new(5, seed);
+        let mut follower = DiscoveryWatch::new(5, seed);
         follower.failed(0.0);
         while follower.due < 8000.0 {
             let now = follower.due;
@@ -128,7 +128,7 @@
     assert!(most < Some(130), "a hundredth of a second's calls each, not all at once: {most:?}");
     let mut moved: Vec<u64> = (0..300)
         .map(|seed| {
-            let mut follower = Follower::new(5, seed);
+            let mut follower = DiscoveryWatch::new(5, seed);
             follower.moved(0.0);
             (follower.due / 10.0) as u64
         })
@@ -139,7 +139,7 @@
 
 #[test]
 fn numbers_that_begin_anew_are_followed_and_the_whole_list_comes_as_one() {
-    let mut follower = Follower::new(9, 1);
+    let mut follower = DiscoveryWatch::new(9, 1);
     let address = ([127, 0, 0, 1], 9092).into();
     follower.poll(0.0, address);
     let older = format!(r#"{{"rev":2,"notices":[{}]}}"#, purge(2));
@@ -168,7 +168,7 @@
 
 #[test]
 fn what_cannot_be_read_of_an_event_allows_nothing_and_more_than_was_asked_for_is_told() {
-    let mut follower = Follower::new(0, 1);
+    let mut follower = DiscoveryWatch::new(0, 1);
     follower.poll(0.0, ([127, 0, 0, 1], 9092).into());
     let entries = r#"{"name":"s-1","address":"127.0.0.9:7001","status":"resting"},{"name":"s-2","status":"active"},
         {"status":"active"}"#;
@@ -216,6 +216,36 @@
     assert_eq!((swap.repeat, swap.fresh_ms, swap.uncached), (Repeat::Fragile, Some(8000.0), true));
 }
 
+#[test]
+fn settings_that_are_missing_or_say_unknown_words_are_told_with_what_stands_instead() {
+    let good = config(|json| json).expect("a good config");
+    let [missing] = &good.remarks[..] else { panic!("{:?}", good.remarks) };
+    assert!(
+        missing.starts_with("missing, defaults stand: ") && missing.contains("Guarantees.ColdMs"),
+        "{missing}"
+    );
+    assert!(!missing.contains("MostTries") && !missing.contains("DialTimeoutMs"), "{missing}");
+    let changed = config(|json| {
+        let json = json.replace("\"fragile\"", "\"sometimes\"").replace("\"Az\":\"east\"", "\"Az\":\"moon\"");
+        let json = json.replace("\"retryable\"", "\"dedup\"").replace("\"MostTries\":6,", "");
+        json.replace("\"MachineTypes\"", "\"Discovery\":\"rumour\",\"NewKey\":[1],\"MachineTypes\"")
+    });
+    let changed = changed.expect("it can be lived with");
+    for told in [
+        "RequestClasses.1.Repeat is unknown: sometimes; fragile stands",
+        "Discovery is unknown: rumour; push stands",
+        "Az is none of the Localities: moon",
+        "RequestClasses.0.DedupScope",
+        "RequestClasses.0.DedupWindowMs",
+        "Limits.MostTries",
+    ] {
+        assert!(changed.remarks.iter().any(|remark| remark.contains(told)), "{told}: {:?}", changed.remarks);
+    }
+    assert!(!changed.remarks.iter().any(|remark| remark.contains("NewKey")), "further keys may be added");
+    assert_eq!(changed.settings.classes[1].repeat, Repeat::Fragile);
+    assert_eq!(changed.settings.limits.max_attempts, 1, "none at all would serve nobody");
+}
+
 #[test]
 fn a_bad_config_is_told_in_one_line() {
     for (from, to, why) in [
@@ -226,6 +256,12 @@
         ("\"leaving\"", "\"resting\"", "known: s-1 has the status"),
         ("\"RequestClasses\"", "\"Classes\"", "no class"),
         ("300.0", "\"soon\"", "Limits.DialTimeoutMs is not a number"),
+        ("300.0", "-300.0", "Limits.DialTimeoutMs is out of range: -300.0"),
+        ("\"MostTries\":6", "\"MostTries\":1e9", "Limits.MostTries is out of range"),
+        ("[0.0,8000.0]", "[0.0,-1]", "FamilyInfo.GoodForMs is out of range: -1"),
+        ("\"HardLimitMs\":3000.0}", "\"Deadline\":3000.0}", "RequestClasses.0.HardLimitMs is missing"),
+        ("\"swap\"", "\"page\"", "RequestClasses.1.Name is missing or that of another class"),
+        ("\"Worth\":3.0", "\"LateWorth\":3.0", "RequestClasses.1.LateWorth is out of range: 3.0"),
     ] {
         let error = config(|json| json.replacen(from, to, 1)).expect_err(why);
         assert!(error.contains(why) && !error.contains('\n'), "{why}: {error}");
