Give each test fleet a loopback address of its own, where nobody takes its ports

The rig drew its routers' UDP ports by binding port 0 on 127.0.0.1 and let go of them before the routers ran. Change: OwnIp takes a loopback address that no other rig holds; routers and the laboratory's machines listen there, also when they come back after having been down. Ruled out: a slow machine (n1 served clients within the 10 s that start_all allows), the detector (n0 and n2 knew each other).

--- a/crates/frostturn-lab/src/lib.rs
+++ b/crates/frostturn-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod hostile;
+pub mod loopback;
 pub mod machines;
 pub mod relay;
 pub mod report;
--- a/crates/frostturn-lab/src/site.rs
+++ b/crates/frostturn-lab/src/site.rs
@@ -50,7 +50,7 @@
     /// alone.
     pub fn start(count: usize, first_only: bool) -> Result<Self, String> {
         let io = |e: std::io::Error| format!("stand-ins: {e}");
-        let world = Arc::new(World::default());
+        let world = Arc::new(World::new().map_err(io)?);
         static SITES: AtomicUsize = AtomicUsize::new(0);
         let which = SITES.fetch_add(1, Ordering::Relaxed);
         let dir = std::env::temp_dir().join(format!("frostturn-lab-{}-{which}", std::process::id()));
