Let a purge bind for an hour where no setting says when all copies are gone

Cause: a missing FamilyInfo.GoneEverywhereMs was read as 0 ms, so that a purge was forgotten at the next look and an older copy could answer (src/config.rs; noted in docs/deployment.md as the operator's duty). What is too long costs memory alone. Shown: the test of the settings in tests/board.rs fails without it (0 ms) and passes with it.

--- a/src/config.rs
+++ b/src/config.rs
@@ -17,6 +17,9 @@
 /// Why something cannot be read.
 pub type Fault = String;
 
+/// How long a purge bounds the age of copies where no setting says when all have dropped theirs.
+const PURGES_KEPT_MS: Millis = 3_600_000.0;
+
 /// What the network side needs of the settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Net {
@@ -256,7 +259,11 @@
         parent_cold_ms: options.number("FamilyInfo.UpperColdMs")?,
         parent_fall_multiple: options.number("FamilyInfo.UpperFallMultiple")?,
         purge_notice_ms: options.number("FamilyInfo.NoticeTimeMs")?,
-        purge_gone_ms: options.number("FamilyInfo.GoneEverywhereMs")?,
+        // Bounding ages for too long costs memory alone; for too short it would let a purged copy answer.
+        purge_gone_ms: match options.text("FamilyInfo.GoneEverywhereMs") {
+            "" | "-" => PURGES_KEPT_MS,
+            _ => options.number("FamilyInfo.GoneEverywhereMs")?,
+        },
     };
     let limits = Limits {
         max_attempts: options.number("Limits.MostTries")? as usize,
--- a/tests/board.rs
+++ b/tests/board.rs
@@ -225,6 +225,10 @@
         "{missing}"
     );
     assert!(!missing.contains("MostTries") && !missing.contains("DialTimeoutMs"), "{missing}");
+    assert!(
+        good.settings.guarantees.purge_gone_ms >= 3_600_000.0,
+        "a purge binds where nobody says how long"
+    );
     let changed = config(|json| {
         let json = json.replace("\"fragile\"", "\"sometimes\"").replace("\"Az\":\"east\"", "\"Az\":\"moon\"");
         let json = json.replace("\"retryable\"", "\"dedup\"").replace("\"MostTries\":6,", "");
