Believe a load report only until it would have been renewed

Change: news is a report that differs in any figure from the endpoint's last; the mean time between news is what a renewal takes here, and a report older than that says nothing. Until a first renewal was seen none is believed. An endpoint without a report gets the usual room for chance, never more: it isn't taken for idle, as nothing goes by a low load. Shown: the last assertion of a_cache_that_reports_itself_busy_… and more_purges_than_are_told_apart_… fail without it. Ruled out: the reported inflight for the load of other routers: a branch there has about one router, whose own count it is.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,8 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 use twox_hash::XxHash64;
 
-/// Seconds ahead that the forecast looks (the paper's tau): about the time in which a peer fills.
-const TAU_S: usize = 3;
+const TAU_S: usize = 3; // The paper's tau: seconds that the forecast looks ahead. A peer fills in about that.
 const WINDOW_S: usize = 2 * TAU_S; // Seconds of the forecast's window: two tau, as in the paper.
 const PEERS: usize = 2; // Peers an object spreads to: the next two of its order, as the design page says.
 const NORMAL_GAIN: f64 = 0.1; // Weight of a new second in an object's normal average.
@@ -31,29 +30,23 @@
 const RECENT_MS: Millis = 10_000.0; // How long a measurement counts.
 const GAIN: f64 = 0.2; // Weight of a new measurement in smoothed times.
 const PATIENCE: f64 = 1.5; // An attempt gets at least this multiple of what it is expected to take.
-/// Usual gaps between a machine's answers here after which it is silent: by chance that is one in 400.
-const SILENT_GAPS: f64 = 6.0;
+const SILENT_GAPS: f64 = 6.0; // Usual gaps between answers that make one silent: by chance one in 400.
 const GAP_START_MS: Millis = 2000.0; // Long at first: a call-off in error costs more than a late find.
 const MISS_START: [f64; 2] = [0.9, 0.2]; // Shares of first-seen and seen pieces that need a fill, at first.
 const LINK_FULL: f64 = 1.5; // The location's link is full when a mean fill is slowed to this multiple.
 /// Share of fills that fail above which old copies beat the wait for one, and above which fills are dear.
 const DOUBT: f64 = 0.3;
 const SOME_FAIL: f64 = 0.08;
-/// The origin's wait, as a part of what a request's aim leaves for it, from which some aren't sent there.
-const ORIGIN_SLOW: f64 = 0.6;
+const ORIGIN_SLOW: f64 = 0.6; // Part of what the aim leaves for the origin's wait, above which not all go.
 const LIMPS: f64 = 4.0; // So much slower than its best fellow, a machine is passed by: more than crowding.
 const CROWDED: f64 = 1.3; // Requests go past a cache that holds this multiple of what fits at full pace.
-/// Square roots of a router's part of a link that it may hold more by chance: a few do come together.
-const CHANCE_ROOM: f64 = 2.0;
-/// Transfers beyond its part before a home is passed by; twice that while some fills fail, as it costs one.
-const BY_CHANCE: f64 = 2.0;
-/// Share of busy cores reported above which a few transfers that come together aren't put down to chance.
-const BUSY: f64 = 0.95;
+const CHANCE_ROOM: f64 = 2.0; // Square roots of its part of a link that a router may hold more by chance.
+const BY_CHANCE: f64 = 2.0; // Transfers beyond its part before a home is passed by; twice where fills fail.
+const BUSY: f64 = 0.95; // Share of busy cores above which transfers that come together are no chance.
 const BEARS_FADE: f64 = 0.99; // What machines have borne fades by this a second: they may come back cold.
 const COLD_SPEND: f64 = 0.6; // Part of the cold-start budget that is spent: chance needs the rest.
 const PURGE_SLACK_MS: Millis = 2.0; // How much younger than a purge a copy must be: clocks and rounding.
-/// Hedged requests that a request earns, and the most saved up: where more is slow, it is load.
-const HEDGES: [f64; 2] = [0.02, 10.0];
+const HEDGES: [f64; 2] = [0.02, 10.0]; // What a request earns, and the most saved up: more is load.
 const WORK_GAIN: f64 = 0.02; // Weight of one request in its class's mean sending time.
 
 /// The design page's object: what a cache keeps one copy of. One home for all its pieces would fill its link.
@@ -78,8 +71,7 @@
     backoff_ms: Millis,
     died: bool,
     turned: u32,
-    /// When a broken connection last counted against it.
-    broke: Option<Millis>,
+    broke: Option<Millis>, // When a broken connection last counted against it.
     last_ok: Option<Millis>,
     gap: Millis,
 }
@@ -104,7 +96,7 @@
 #[derive(Debug, Default)]
 struct Learned {
     room: Option<f64>,
-    busy: Option<Seen>,
+    report: Option<(LoadReport, Millis)>, // The latest that told anything new, and when it came.
     ttfb: Option<Seen>,
     pace: Option<Seen>,
     /// When the latest answers, or fills from it, were asked for, and their time less that of sending.
@@ -233,6 +225,10 @@
     origin_waits: [Seen; 4],
     /// Hedged requests that may still be sent.
     hedges: f64,
+    /// How long reports take to be renewed, as their news came: none is believed for longer.
+    renewed: Option<Seen>,
+    /// When the latest purge was made that is no longer told apart: nothing from before any of these will do.
+    flushed: Option<Millis>,
 }
 
 impl Router {
@@ -287,6 +283,10 @@
                 // An object's purge may come without its group: the object alone tells.
                 let group = if object.is_some() { 0 } else { group };
                 self.purged.entry((group, object)).and_modify(|at| *at = at.max(made)).or_insert(made);
+                if self.purged.len() > MAX_OBJECTS {
+                    let made = self.purged.drain().map(|(_, made)| made);
+                    self.flushed = made.chain(self.flushed).reduce(f64::max);
+                }
             }
         }
     }
@@ -301,8 +301,7 @@
             node.listed = entry.phase == Phase::Serving;
             node.entry.rating = entry.rating;
             if entry.online_since > node.started {
-                node.started = entry.online_since;
-                node.health = Health::default();
+                (node.started, node.health) = (entry.online_since, Health::default());
                 node.learned = Learned::default();
                 self.chill(now, at);
             }
@@ -479,9 +478,8 @@
     fn dispatch(&mut self, now: Millis, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id).filter(|pending| !pending.done) else { return };
         let Some((fetch, attempt)) = self.plan(now, pending) else {
-            let out = pending.attempts.iter().any(|a| a.outcome.is_none()); // May still be answered.
-            if !out {
-                self.give_up(id, actions);
+            if pending.attempts.iter().all(|a| a.outcome.is_some()) {
+                self.give_up(id, actions); // Else one may still be answered.
             }
             return;
         };
@@ -620,7 +618,7 @@
         let stale = !pending.attempts.is_empty() || recent(self.unfilled, now) > Some(DOUBT);
         let purged = |group, object| self.purged.get(&(group, object)).copied().unwrap_or(f64::MIN);
         let own = asked.object.clone().map_or(f64::MIN, |object| purged(0, Some(object)));
-        let purge = purged(asked.group, None).max(own);
+        let purge = purged(asked.group, None).max(own).max(self.flushed.unwrap_or(f64::MIN));
         let bound = (purge > f64::MIN).then(|| (now - purge - PURGE_SLACK_MS).max(1.0));
         let usual = class.fresh_ms.map(|fresh| if stale { fresh + class.stale_ms } else { fresh });
         bound.into_iter().chain(usual).reduce(f64::min)
@@ -658,7 +656,9 @@
     /// How many times slower than at full pace a cache would send with one more.
     fn crowd(&self, now: Millis, at: NodeAt) -> f64 {
         let held = (self.nodes[at].inflight + 1) as f64;
-        let busy = recent(self.nodes[at].learned.busy, now).is_some_and(|util| util > BUSY);
+        let fresh = recent(self.renewed, now).unwrap_or(0.0);
+        let busy = |(said, came): (LoadReport, Millis)| now - came <= fresh && said.util > Some(BUSY);
+        let busy = self.nodes[at].learned.report.is_some_and(busy);
         let room = |part: f64| if busy { 0.0 } else { CHANCE_ROOM * part.max(1.0).sqrt() };
         self.part(now, at).map_or(1.0, |part| ((held - room(part)) / part).max(1.0))
     }
@@ -745,9 +745,8 @@
         order.iter().find(|at| !self.passed_by(now, **at)).or(order.iter().min_by(least)).copied()
     }
 
-    /// The parent pick: of the object's first two hashed parents, the one with the shorter recent time
-    /// to first byte, else the nearer; with none usable, once, the piece's home in another location, which
-    /// spares the origin (a source only: nothing is sent to it); then the origin.
+    /// The parent pick: of the object's first two hashed parents the one sooner to a first byte, else the
+    /// nearer; none usable: once, its home in another location (a source only), then the origin.
     fn pick_source(&self, now: Millis, pending: &Pending, lost: bool) -> Option<NodeAt> {
         let asked = &pending.asked;
         let failed = |at: NodeAt| pending.attempts.iter().any(|a| a.blamed == Some(at));
@@ -840,6 +839,9 @@
         attempt.outcome = Some(result.outcome);
         let Attempt { cache, source, sent, fill, .. } = *attempt;
         let (seen, key, class) = (pending.seen, piece(&pending.asked), pending.asked.class);
+        let errors = |a: &&Attempt| a.cache == cache && a.outcome == Some(Outcome::Error);
+        let again = pending.attempts.iter().filter(errors).count() > 1;
+        let wrong: Vec<NodeAt> = pending.attempts.iter().filter(|a| erred(a)).map(|a| a.cache).collect();
         if result.outcome == Outcome::Ok && pending.asked.size_kb.is_none() {
             self.shown(class, key.as_ref(), result);
         }
@@ -850,9 +852,12 @@
             self.nodes[at].inflight = self.nodes[at].inflight.saturating_sub(1);
         }
         // A report that says the same again is no news: a stuck one grows old.
-        let busy = &mut self.nodes[cache].learned.busy;
-        let news = |util: &f64| util.is_finite() && busy.is_none_or(|(old, _)| old != *util);
-        *busy = result.report.util.filter(news).map(|util| (util, now)).or(*busy);
+        let latest = &mut self.nodes[cache].learned.report;
+        let told = result.report != LoadReport::default();
+        let news = told && latest.is_none_or(|(old, _)| old != result.report);
+        if let Some((_, came)) = news.then(|| latest.replace((result.report, now))).flatten() {
+            feed(&mut self.renewed, now, (now - came).min(RECENT_MS));
+        }
         let guessed = self.settings.detail == Detail::Silent && !seen && result.outcome == Outcome::Ok;
         let filled = guessed || matches!(result.note, Some(Note::Filled | Note::FilledFromOrigin));
         let sourced = result.note.is_some_and(blames_source);
@@ -866,9 +871,6 @@
         }
         // Untold failures are the source's: refusals while fills come to nothing, and a cache's first error.
         let failing = full && recent(self.unfilled, now) > Some(DOUBT);
-        let attempts = self.requests.get(&result.id).map_or(&[][..], |pending| &pending.attempts);
-        let again =
-            attempts.iter().filter(|a| a.cache == cache && a.outcome == Some(Outcome::Error)).count() > 1;
         let failing = failing || result.outcome == Outcome::Error && !again;
         let sourced = sourced || self.settings.detail == Detail::Hit && cache != source && failing;
         let told = self.settings.detail != Detail::Silent || cache == source;
@@ -928,8 +930,6 @@
             }
         }
         if result.outcome == Outcome::Ok {
-            let attempts = self.requests.get(&result.id).map_or(&[][..], |pending| &pending.attempts);
-            let wrong: Vec<NodeAt> = attempts.iter().filter(|a| erred(a)).map(|a| a.cache).collect();
             wrong.into_iter().for_each(|at| self.failed(now, at, Outcome::Error, actions));
         }
         self.mark_peer(key.as_ref(), cache, result.outcome, filled && seen);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -68,6 +68,32 @@
     assert_eq!(fetch(&driver.ask(READ, "tune")).max_age_ms, None);
 }
 
+#[test]
+fn more_purges_than_are_told_apart_bind_all_copies_instead_of_none() {
+    let mut driver = Driver::usual();
+    driver.now += 1000.0;
+    driver.send(Event::Purged { object: Some("song".into()), group: 7, age_ms: 0.0 });
+    driver.now += 100.0;
+    let mut held = Vec::new();
+    for other in 1..=30_000 {
+        let object = Some(format!("o{other}").as_str().into());
+        driver.send(Event::Purged { object, group: 7, age_ms: 0.0 });
+        if other % 10_000 == 0 {
+            held.push(format!("{:?}", driver.router).len());
+        }
+    }
+    assert!(held[0] < held[1] && held[2] < held[0], "bytes of all that it knows: {held:?}");
+    driver.now += 50.0;
+    let bound = |actions: &[Action]| fetch(actions).max_age_ms;
+    assert!(bound(&driver.ask(READ, "song")).is_some_and(|age| age <= 150.0), "the first of them");
+    assert!(bound(&driver.ask(READ, "o30000")).is_some_and(|age| age <= 50.0), "and the last");
+    driver.wait(8000.0);
+    assert!(
+        bound(&driver.ask(READ, "song")).is_none_or(|age| age > 8000.0),
+        "a copy from after them will do"
+    );
+}
+
 #[test]
 fn a_cold_cache_and_a_cold_parent_get_a_budget() {
     let mut list = fleet();
