Test that a silence counts from sure words, not from unsure ones that came before

Change: src/fleet/rolls/tests.rs has a router hear unsure words of an epoch, then sure ones of the same epoch 2 s later, with its standing renewed; it must not give that life up before the silence since the sure words is over.

--- a/src/fleet/rolls/mod.rs
+++ b/src/fleet/rolls/mod.rs
@@ -899,3 +899,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
