--- a/src/config.rs
+++ b/src/config.rs
@@ -215,8 +215,13 @@
     }
 
     fn number(&self, path: &str) -> Result<f64, Fault> {
+        self.number_or(path, 0.0)
+    }
+
+    /// A figure, or what stands where it is missing.
+    fn number_or(&self, path: &str, missing: f64) -> Result<f64, Fault> {
         match self.text(path) {
-            "" | "-" => Ok(0.0),
+            "" | "-" => Ok(missing),
             text => number(text, path),
         }
     }
@@ -234,10 +239,7 @@
     }
 
     fn kind(&self, path: &str) -> Result<Option<MachineKind>, Fault> {
-        let place = match self.text(path) {
-            "" | "-" => -1.0,
-            text => number(text, path)?,
-        };
+        let place = self.number_or(path, -1.0)?;
         Ok(self
             .list("MachineTypes")
             .enumerate()
@@ -260,10 +262,7 @@
         parent_fall_multiple: options.number("FamilyInfo.UpperFallMultiple")?,
         purge_notice_ms: options.number("FamilyInfo.NoticeTimeMs")?,
         // Bounding ages for too long costs memory alone; for too short it would let a purged copy answer.
-        purge_gone_ms: match options.text("FamilyInfo.GoneEverywhereMs") {
-            "" | "-" => PURGES_KEPT_MS,
-            _ => options.number("FamilyInfo.GoneEverywhereMs")?,
-        },
+        purge_gone_ms: options.number_or("FamilyInfo.GoneEverywhereMs", PURGES_KEPT_MS)?,
     };
     let limits = Limits {
         max_attempts: options.number("Limits.MostTries")? as usize,
--- a/src/fleet/rolls/call.rs
+++ b/src/fleet/rolls/call.rs
@@ -184,7 +184,7 @@
         latest.is_none_or(|(key, roll)| key.1 + WAITS <= epoch || gathered(roll))
     }
 
-    /// Whether one of a kind was called within so many epochs.
+    /// Whether one of a kind was called in that epoch or later.
     pub fn called_since(&self, kind: Kind, epoch: u32) -> bool {
         self.of(kind).next().is_some_and(|(key, _)| key.1 >= epoch)
     }
@@ -220,7 +220,7 @@
         let others: Vec<Named<'_>> = [given_up.first().copied(), largest, gone]
             .into_iter()
             .flatten()
-            .chain(given_up.clone())
+            .chain(given_up.iter().copied())
             .collect();
         let given_up = match turn % 4 {
             0 => gone.or(largest),
