--- a/crates/frostturn-lab/src/daemon.rs
+++ b/crates/frostturn-lab/src/daemon.rs
@@ -33,6 +33,8 @@
     pub instances: usize,
     /// It is one of several that listen at the same place, and operators can call it.
     pub beside: Option<Beside>,
+    /// Further variables of its environment.
+    pub environment: &'a [(String, String)],
 }
 
 /// One process of several.
@@ -95,12 +97,14 @@
         };
         command.env("PROXY_CONFIG", &path).env_remove("PROXY_LISTEN").env_remove("PROXY_NAME");
         command.env_remove("FROSTTURN_LOG").env_remove("FROSTTURN_OPERATOR").env_remove("PROXY_OPS");
+        command.env_remove("FROSTTURN_LOG_LEVEL");
         if how.beside.is_some() {
             command.env("PROXY_OPS", "127.0.0.1:0").env("TMPDIR", how.dir);
         }
         if let Some(operator) = how.operator {
             command.env("FROSTTURN_OPERATOR", operator);
         }
+        command.envs(how.environment.iter().map(|(name, value)| (name, value)));
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(file).spawn();
         let child = child.map_err(|e| format!("the daemon can't be started: {e}"))?;
         Ok(Self { child, address: ([127, 0, 0, 1], 0).into(), ops: None, log })
--- a/crates/frostturn-lab/src/rig.rs
+++ b/crates/frostturn-lab/src/rig.rs
@@ -2,7 +2,7 @@
 
 use crate::daemon::{call, Beside, Daemon, Start};
 use crate::relay::{Link, Relays};
-use crate::site::Site;
+use crate::site::{Setup, Site};
 use frostturn::fleet::View;
 use frostturn::ops::control::Answer;
 use frostturn::ops::Call;
@@ -55,7 +55,7 @@
         seed: u64,
     ) -> Result<Self, String> {
         let io = |e: std::io::Error| format!("the fleet's links: {e}");
-        let site = Site::start(boxes, false)?;
+        let site = Site::start(boxes, &Setup::default())?;
         // Ports that are free: held until all are known, so that no two are alike, and on an address where nobody else
         // binds, so that they stay free until the routers run, and while one of them doesn't.
         let held: Vec<UdpSocket> = (0..routers)
@@ -106,6 +106,7 @@
             name: &slot.name,
             instances,
             beside: Some(Beside { listen, number }),
+            environment: &self.site.environment,
         };
         let new = if wait { Daemon::start(&start)? } else { Daemon::spawn(&start)? };
         slot.logs.push(new.log.clone());
--- a/crates/frostturn-lab/src/scenarios/addresses.rs
+++ b/crates/frostturn-lab/src/scenarios/addresses.rs
@@ -222,7 +222,7 @@
 pub fn run(options: &Options) -> Result<Report, String> {
     let seconds = options.seconds.unwrap_or(SECONDS);
     let plan = if options.calm { Plan::default() } else { Plan::draw(options.seed, seconds * 1e3) };
-    let site = Site::start(BOXES, options.first_only)?;
+    let site = Site::start(BOXES, &options.setup())?;
     let daemon = site.daemon(options.daemon.as_deref(), options.plain, options.seed)?;
     let (world, address, rate) = (site.world.clone(), daemon.address, options.rate.unwrap_or(RATE));
     let (start, seed) = (world.now(), options.seed);
--- a/crates/frostturn-lab/src/scenarios/fleet_cost.rs
+++ b/crates/frostturn-lab/src/scenarios/fleet_cost.rs
@@ -68,7 +68,7 @@
 /// Measures both.
 pub fn run(options: &Options) -> Result<Report, String> {
     let io = |e: std::io::Error| format!("the operator's file: {e}");
-    let site = Site::start(2, false)?;
+    let site = Site::start(2, &options.setup())?;
     let listen = UdpSocket::bind(site.world.own.any()).and_then(|held| held.local_addr()).map_err(io)?;
     let (mut peers, text) = others(listen, options.seed)?;
     let operator = site.dir.join("fleet.scm");
@@ -84,6 +84,7 @@
             name: "n0",
             instances: ROUTERS,
             beside: None,
+            environment: &site.environment,
         })
     };
     let (with, without) = (start(Some(operator.as_path()))?, start(None)?);
--- a/crates/frostturn-lab/src/scenarios/mod.rs
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -10,6 +10,7 @@
 pub mod up;
 
 use crate::report::Report;
+use crate::site::Setup;
 use std::path::PathBuf;
 
 /// How to run one.
@@ -33,6 +34,15 @@
     pub replay: Option<PathBuf>,
     /// Where figures go.
     pub out: Option<PathBuf>,
+    /// Where the daemons' files are kept, each event logged.
+    pub logs: Option<PathBuf>,
+}
+
+impl Options {
+    /// How the site is set up.
+    pub fn setup(&self) -> Setup {
+        Setup { first_only: self.first_only, logs: self.logs.clone(), environment: Vec::new() }
+    }
 }
 
 /// A scenario's name, what it does, and how it is run.
--- a/crates/frostturn-lab/src/scenarios/photos.rs
+++ b/crates/frostturn-lab/src/scenarios/photos.rs
@@ -44,7 +44,7 @@
 type Held = [(u64, u64); 2];
 
 fn serve(options: &Options, with: bool) -> Result<(Report, Held), String> {
-    let site = Site::start(BOXES, false)?;
+    let site = Site::start(BOXES, &options.setup())?;
     let path = site.dir.join("photos.wat");
     std::fs::write(&path, PROGRAM).map_err(|e| format!("{}: {e}", path.display()))?;
     let plugin = format!(
--- a/crates/frostturn-lab/src/scenarios/plugins.rs
+++ b/crates/frostturn-lab/src/scenarios/plugins.rs
@@ -48,7 +48,7 @@
 
 fn serve(options: &Options, seconds: f64, hostile: bool) -> Result<(Report, Load, usize), String> {
     let mut rng = StdRng::seed_from_u64(options.seed ^ 0x9106_1a5e);
-    let site = Site::start(BOXES, false)?;
+    let site = Site::start(BOXES, &options.setup())?;
     let all = hostile::all();
     let mut drawn: Vec<usize> = (0..all.len()).collect();
     drawn.shuffle(&mut rng);
--- a/crates/frostturn-lab/src/scenarios/up.rs
+++ b/crates/frostturn-lab/src/scenarios/up.rs
@@ -7,7 +7,7 @@
 
 /// Four boxes, a parent and the origin, 400 requests a second.
 pub fn run(options: &Options) -> Result<Report, String> {
-    let site = Site::start(4, options.first_only)?;
+    let site = Site::start(4, &options.setup())?;
     println!("stand-ins run; the board is at {}", site.board.address);
     let daemon = site.daemon(options.daemon.as_deref(), options.plain, options.seed)?;
     println!("frostturn serves on {}", daemon.address);
--- a/src/api.rs
+++ b/src/api.rs
@@ -3,6 +3,7 @@
 //! Plain types only; every decision is in [`crate::policy`]. Times are milliseconds on the
 //! caller's clock ([`Millis`]), sizes are kilobytes, and an absent value is `None`.
 
+pub use crate::reasons::Refusal;
 use std::sync::Arc;
 
 /// Milliseconds, with fractions. Used for clock readings and for spans.
@@ -582,11 +583,15 @@
         id: RequestId,
         /// When to come back; `None`: no advice.
         hold_off_ms: Option<Millis>,
+        /// Why no further attempt is made.
+        reason: Refusal,
     },
     /// Final answer: failed, promising nothing.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why no further attempt is made.
+        reason: Refusal,
     },
     /// Call an attempt off.
     Abandon {
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::addresses::{Book, DialKey, Endpoint, Failure, Listing, Rules};
 use crate::api::*;
+use crate::reasons::EndpointClose;
 use crate::reducer::{Answer, AttemptKey, Call, Progress};
 use crate::resp::{self, Fault};
 use dials::left;
@@ -480,16 +481,16 @@
     }
 
     /// Connections that are due to be closed, and why.
-    pub fn expired(&self, now: Millis) -> Vec<(LinkKey, &'static str)> {
+    pub fn expired(&self, now: Millis) -> Vec<(LinkKey, EndpointClose)> {
         let due = |link: &Link| {
             let empty = link.open.is_empty() && link.out.is_empty();
             let passed = link.due(self.idle_ms).is_some_and(|at| at <= now);
             match link.up {
-                None if link.retired && empty => Some("not wanted any more"),
-                None => link.race.as_ref().is_some_and(|race| race.over(now)).then_some("not up in time"),
-                Some(_) if link.greeting.is_some() => passed.then_some("no greeting"),
-                Some(_) if link.decoder.midway() => passed.then_some("an answer stopped short"),
-                Some(_) => (passed || (empty && link.mute(now))).then_some("idle"),
+                None if link.retired && empty => Some(EndpointClose::NotWanted),
+                None => link.race.as_ref().is_some_and(|race| race.over(now)).then_some(EndpointClose::NotUp),
+                Some(_) if link.greeting.is_some() => passed.then_some(EndpointClose::NoGreeting),
+                Some(_) if link.decoder.midway() => passed.then_some(EndpointClose::Stalled),
+                Some(_) => (passed || (empty && link.mute(now))).then_some(EndpointClose::Idle),
             }
         };
         self.links.iter().filter_map(|(key, link)| Some((*key, due(link)?))).collect()
--- a/src/bin/frostturn-simhost/wire.rs
+++ b/src/bin/frostturn-simhost/wire.rs
@@ -193,10 +193,10 @@
             let (timeout, age) = (fetch.timeout_ms, fetch.max_age_ms.unwrap_or(0.0));
             writeln!(out, "GET\t{instance}\t{id}\t{cache}\t{how}\t{timeout:.3}\t{source}\t{age:.3}\t{rank}")
         }
-        Action::Refuse { id, hold_off_ms } => {
+        Action::Refuse { id, hold_off_ms, .. } => {
             writeln!(out, "PUSH_BACK\t{instance}\t{id}\t{:.1}", hold_off_ms.unwrap_or(0.0))
         }
-        Action::Fail { id } => writeln!(out, "LOSE\t{instance}\t{id}"),
+        Action::Fail { id, .. } => writeln!(out, "LOSE\t{instance}\t{id}"),
         Action::Abandon { id, attempt } => writeln!(out, "ABANDON\t{instance}\t{id}\t{attempt}"),
         Action::Timer { delay_ms, token } => {
             writeln!(out, "REMIND\t{instance}\t{delay_ms:.3}\t{}", token.0)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,7 +5,7 @@
 
 use crate::config::{Config, Sources};
 use crate::fleet::Fleet;
-use crate::log::Format;
+use crate::log::{Format, Level};
 use crate::operator::{self, Operator};
 use crate::say;
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
@@ -34,6 +34,9 @@
     /// How log lines are written to standard error
     #[arg(long, env = "FROSTTURN_LOG", value_enum, default_value = "text", global = true)]
     log: LogFormat,
+    /// How much is written: what operators need, or each event of each request and connection as well
+    #[arg(long, env = "FROSTTURN_LOG_LEVEL", value_enum, default_value = "info", global = true)]
+    log_level: LogLevel,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -81,6 +84,14 @@
     Json,
 }
 
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum LogLevel {
+    /// Few lines, limited in rate
+    Info,
+    /// Nothing held back: for following one request id
+    Debug,
+}
+
 /// Does what the process's arguments and environment say.
 pub fn main() -> ExitCode {
     // The platform starts it with no word at all: the parser's pages then needn't be in a small router's memory.
@@ -92,6 +103,10 @@
         LogFormat::Text => Format::Text,
         LogFormat::Json => Format::Json,
     };
+    let level = match cli.log_level {
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
     match cli.command {
         None | Some(Command::Serve) => {
             let given = |text: Option<String>| text.filter(|text| !text.is_empty());
@@ -103,7 +118,7 @@
                 ops: given(cli.ops),
                 operator: named(cli.operator),
             };
-            serve_by(format, sources)
+            serve_by(format, level, sources)
         }
         Some(Command::Check { files }) => check(&files, cli.name.as_deref()),
         Some(Command::Plugin { plugin }) => crate::cli_plugin::run(&plugin),
@@ -130,6 +145,14 @@
             return ExitCode::from(2);
         }
     };
+    let level = match var("FROSTTURN_LOG_LEVEL").as_deref() {
+        None | Some("info") => Level::Info,
+        Some("debug") => Level::Debug,
+        Some(other) => {
+            eprintln!("FROSTTURN_LOG_LEVEL is neither info nor debug: {other}");
+            return ExitCode::from(2);
+        }
+    };
     let sources = Sources {
         config: var("PROXY_CONFIG").map(PathBuf::from),
         name: var("PROXY_NAME"),
@@ -137,11 +160,11 @@
         ops: var("PROXY_OPS"),
         operator: var("FROSTTURN_OPERATOR").map(PathBuf::from),
     };
-    serve_by(format, sources)
+    serve_by(format, level, sources)
 }
 
-fn serve_by(format: Format, sources: Sources) -> ExitCode {
-    crate::log::start(format);
+fn serve_by(format: Format, level: Level, sources: Sources) -> ExitCode {
+    crate::log::start(format, level);
     match crate::runtime::run(sources) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,18 +1,47 @@
 //! Figures of what the router takes in, sends and answers; printed on a signal and at exit.
 
+use crate::reasons::{AttemptCause, ClientClose, Counts, EndpointClose, Refusal};
+
+/// Closes, refusals, failures and attempts by their reasons.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ByReason {
+    /// Client connections that ended.
+    pub client_closes: Counts<ClientClose>,
+    /// Connections to endpoints that ended, or never came up.
+    pub endpoint_closes: Counts<EndpointClose>,
+    /// Requests refused.
+    pub refusals: Counts<Refusal>,
+    /// Requests failed since no further attempt was made and they may have run.
+    pub failures: Counts<Refusal>,
+    /// Attempts.
+    pub attempts: Counts<AttemptCause>,
+}
+
+impl std::fmt::Display for ByReason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.client_closes.write(f, "client_closed")?;
+        self.endpoint_closes.write(f, "endpoint_closed")?;
+        self.refusals.write(f, "refused")?;
+        self.failures.write(f, "failed")?;
+        self.attempts.write(f, "attempted")
+    }
+}
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// Counts since the start.
         #[derive(Clone, Debug, Default, PartialEq, Eq)]
         pub struct Counters {
             $($(#[$doc])* pub $name: u64,)*
+            /// The same and more by reason.
+            pub reasons: ByReason,
         }
 
         impl std::fmt::Display for Counters {
             fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
                 f.write_str("counters")?;
                 $(write!(f, " {}={}", stringify!($name), self.$name)?;)*
-                Ok(())
+                self.reasons.fmt(f)
             }
         }
     };
--- a/src/front.rs
+++ b/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::api::Millis;
 use crate::fastcgi::{self, kind, status, Decoder, Fault, Record};
+use crate::reasons::ClientClose;
 use crate::reducer::{Ask, Reply};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -85,7 +86,7 @@
     /// Requests that should have been whole by now, and are turned away.
     Late(Vec<Heard>),
     /// Its client is silent, deaf or gone.
-    Over,
+    Over(ClientClose),
 }
 
 /// One client connection.
@@ -275,12 +276,13 @@
                 (format!("Status: 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: {length}\r\n\r\n"), body)
             }
             Reply::Unchanged => ("Status: 200 OK\r\nX-Valid: 1\r\nContent-Length: 0\r\n\r\n".to_owned(), b""),
-            Reply::Refused { hold_off_ms } => {
+            Reply::Refused { hold_off_ms, .. } => {
                 let wait = hold_off_ms.map(|ms| format!("Retry-After-Ms: {}\r\n", ms.ceil().max(0.0) as u64));
                 let wait = wait.unwrap_or_default();
                 (format!("Status: 503 Service Unavailable\r\n{wait}Content-Length: 0\r\n\r\n"), b"")
             }
-            Reply::Failed(why) => {
+            Reply::Failed(failure) => {
+                let why = failure.words();
                 (format!("Status: 502 Bad Gateway\r\nX-Reason: {why}\r\nContent-Length: 0\r\n\r\n"), b"")
             }
             Reply::Health(true) => ("Status: 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned(), b""),
@@ -318,8 +320,10 @@
         let silent = !self.asked && self.unwritten == 0 && now - self.opened > WHOLE_MS;
         let idle = self.open.is_empty() && self.unwritten == 0 && now - self.moved > IDLE_MS;
         let deaf = self.unwritten > 0 && now - self.moved > self.deaf_ms;
-        if idle || deaf || (silent && !awaits) {
-            return Standing::Over;
+        let reasons =
+            [(idle, ClientClose::Idle), (deaf, ClientClose::Deaf), (silent && !awaits, ClientClose::Silent)];
+        if let Some((_, reason)) = reasons.into_iter().find(|(holds, _)| *holds) {
+            return Standing::Over(reason);
         }
         let mut late = Vec::new();
         for open in self.open.values_mut().filter(|open| open.coming() && now - open.begun > WHOLE_MS) {
@@ -369,6 +373,11 @@
         }
     }
 
+    /// Requests that are open on it.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
     /// Bytes that are still to be written.
     pub fn unwritten(&self) -> usize {
         self.unwritten
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod ops;
 pub mod plugins;
 pub mod policy;
+pub mod reasons;
 pub mod reducer;
 pub mod resp;
 pub mod runtime;
--- a/src/log.rs
+++ b/src/log.rs
@@ -95,6 +95,26 @@
     }};
 }
 
+/// Writes one event in the life of a request, an attempt or a connection, at debug level: its name, the time on the
+/// process's monotonic clock in milliseconds, and typed fields. Off unless the log level is `debug`; then nothing is
+/// held back, so that one id can be followed through every process that touched it.
+#[macro_export]
+macro_rules! trace_event {
+    ($now:expr, $event:literal, $($field:tt)*) => {
+        $crate::log::tracing::debug!(event = $event, at_ms = $now, $($field)*)
+    };
+}
+
+/// How much is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Level {
+    /// What operators need: few lines, limited in rate.
+    #[default]
+    Info,
+    /// Each event of each request and connection as well, with its reason.
+    Debug,
+}
+
 /// How lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -106,8 +126,12 @@
 }
 
 /// Has this process's lines written to standard error. A second call changes nothing.
-pub fn start(format: Format) {
-    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(tracing::Level::INFO);
+pub fn start(format: Format, level: Level) {
+    let most = match level {
+        Level::Info => tracing::Level::INFO,
+        Level::Debug => tracing::Level::DEBUG,
+    };
+    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(most);
     // The one error is that lines are written already.
     let _ = match format {
         Format::Text => lines.event_format(Words).try_init(),
@@ -115,13 +139,15 @@
     };
 }
 
-/// The text form: the words alone, and how many lines were held back before them.
+/// The text form: the words alone, and how many lines were held back before them; an event without words is written as
+/// its fields.
 #[derive(Debug)]
 struct Words;
 
 #[derive(Default)]
 struct Said {
     words: String,
+    fields: String,
     held_back: u64,
 }
 
@@ -129,12 +155,17 @@
     fn record_u64(&mut self, field: &Field, value: u64) {
         if field.name() == "held_back" {
             self.held_back = value;
+        } else {
+            self.record_debug(field, &value);
         }
     }
 
     fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        use fmt::Write as _;
         if field.name() == "message" {
             self.words = format!("{value:?}");
+        } else {
+            let _ = write!(self.fields, " {}={value:?}", field.name()); // Writing to a string doesn't fail.
         }
     }
 }
@@ -152,6 +183,9 @@
     ) -> fmt::Result {
         let mut said = Said::default();
         event.record(&mut said);
+        if said.words.is_empty() {
+            return writeln!(writer, "frostturn:{}", said.fields);
+        }
         match said.held_back {
             0 => writeln!(writer, "frostturn: {}", said.words),
             held => writeln!(writer, "frostturn: {} ({held} lines held back)", said.words),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -477,11 +477,14 @@
     /// Makes the next attempt of a request that has none out, or answers it finally.
     fn dispatch(&mut self, now: Millis, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id).filter(|pending| !pending.done) else { return };
-        let Some((fetch, attempt)) = self.plan(now, pending) else {
-            if pending.attempts.iter().all(|a| a.outcome.is_some()) {
-                self.give_up(id, actions); // Else one may still be answered.
+        let (fetch, attempt) = match self.plan(now, pending) {
+            Ok(planned) => planned,
+            Err(reason) => {
+                if pending.attempts.iter().all(|a| a.outcome.is_some()) {
+                    self.give_up(id, reason, actions); // Else one may still be answered.
+                }
+                return;
             }
-            return;
         };
         let empty = self.warmth(now, &self.nodes[attempt.cache]).is_some();
         let Some(pending) = self.requests.get_mut(id) else { return };
@@ -545,9 +548,10 @@
         }
     }
 
-    fn plan(&self, now: Millis, pending: &Pending) -> Option<(Fetch, Attempt)> {
+    /// The next attempt of a request, or why there is none.
+    fn plan(&self, now: Millis, pending: &Pending) -> Result<(Fetch, Attempt), Refusal> {
         let asked = &pending.asked;
-        let class = self.settings.classes.get(asked.class)?;
+        let class = self.settings.classes.get(asked.class).ok_or(Refusal::NoEndpoint)?;
         let (left, tries) = (pending.deadline - now, pending.attempts.len());
         let own = self.sending_ms(asked);
         let aim = (class.aim_ms + class.aim_stretch * own).min(class.deadline_ms);
@@ -556,7 +560,7 @@
         let home = self.pick_cache(now, pending).filter(|at| !bypass || self.usable(now, *at));
         let lost = bypass && home.is_none();
         let picked = self.pick_source(now, pending, lost);
-        let cache = if lost { picked? } else { home? };
+        let cache = if lost { picked } else { home }.ok_or(Refusal::NoEndpoint)?;
         // A full link slows every fill, and the repeats keep it full: only what the caches hold is served.
         let missed = pending.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
         let usual = if missed { 1.0 } else { self.miss_share[usize::from(pending.seen)] };
@@ -581,13 +585,21 @@
         let most = asked.most_attempts(self.settings.limits.max_attempts);
         // Never answered in time, whoever serves it: better no link time spent on it.
         let unknown = !pending.seen && pending.attempts.iter().filter(|a| erred(a)).count() > 1;
-        let hopeless = left <= own || tries >= most || unknown || (tries == 0 && asked.refused().is_some());
+        let advised = tries == 0 && asked.refused().is_some();
         // Overload: what can't be done within its aim is worth little and slows all others.
         let too_late = own * crowd > aim_left.max(class.aim_ms) && crowd > CROWDED;
         let nowhere = (look || held_only) && missed;
-        let within = self.may_send_again(now, pending, cache)?;
-        if hopeless || too_late || nowhere {
-            return None;
+        let within = self.may_send_again(now, pending, cache).ok_or(Refusal::NoRepeat)?;
+        let reasons = [
+            (advised, Refusal::Advised),
+            (tries >= most, Refusal::TriesUsed),
+            (unknown, Refusal::Unknown),
+            (left <= own, Refusal::TooLate),
+            (too_late, Refusal::Overload),
+            (nowhere, Refusal::NotHeld),
+        ];
+        if let Some((_, reason)) = reasons.into_iter().find(|(holds, _)| *holds) {
+            return Err(reason);
         }
         let patience = (aim_left - expected).max(PATIENCE * (ttfb + own * crowd));
         let again = tries + 1 < most && left - patience > expected;
@@ -609,7 +621,7 @@
             within_ms: Some(within).filter(|ms| ms.is_finite()),
         };
         let check = if again && called_off { patience } else { f64::INFINITY };
-        Some((fetch, Attempt { cache, source, sent: now, check, fill, outcome: None, blamed: None }))
+        Ok((fetch, Attempt { cache, source, sent: now, check, fill, outcome: None, blamed: None }))
     }
 
     /// The oldest copy that will do: younger than any purge told of; past its fresh time if in doubt.
@@ -804,7 +816,7 @@
     }
 
     /// Answers a request that nothing can help any more, at once: refused where a retry is harmless.
-    fn give_up(&mut self, id: &RequestId, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, id: &RequestId, reason: Refusal, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(id) else { return };
         let repeat = self.settings.classes.get(pending.asked.class).map(|class| class.repeat);
         let free = matches!(repeat, Some(Repeat::Retryable | Repeat::Dedup { scope: DedupScope::All, .. }));
@@ -819,7 +831,11 @@
         let limits = &self.settings.limits;
         let wait = advised.unwrap_or(limits.max_retry_after_ms * (1.0 + self.chance(&id)) / 2.0); // Spread.
         let hold_off_ms = Some(wait).filter(|ms| limits.retry_after && *ms > 0.0);
-        actions.push(if harmless { Action::Refuse { id, hold_off_ms } } else { Action::Fail { id } });
+        actions.push(if harmless {
+            Action::Refuse { id, hold_off_ms, reason }
+        } else {
+            Action::Fail { id, reason }
+        });
     }
 
     fn chance(&self, id: &RequestId) -> f64 {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -18,7 +18,7 @@
 use crate::service::{Exclusions, Service};
 use crate::Router;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-pub use words::{Answer, Ask, AttemptKey, Call, Client, Effect, End, Input, Progress, Reply};
+pub use words::{Answer, Ask, AttemptKey, Call, Client, Effect, End, Failure, Input, Progress, Reply};
 
 /// A request is answered this long before its client gives up: its way back, and a busy core.
 const GUARD_MS: Millis = 30.0;
@@ -71,8 +71,9 @@
     id: RequestId,
     ask: std::rc::Rc<Ask>,
     fragile: bool,
-    /// Attempts made, and those of them that are out.
+    /// Attempts made, how the latest to end did, and those that are out.
     attempts: usize,
+    ended: Option<Outcome>,
     out: Vec<AttemptKey>,
     /// Where two may not be out at once: until then one that was given up may be at work still.
     apart: Millis,
@@ -318,8 +319,10 @@
     fn act(&mut self, now: Millis, action: Action) {
         match action {
             Action::Fetch(fetch) => self.send(now, fetch),
-            Action::Refuse { id, hold_off_ms } => self.answer(now, &id, Reply::Refused { hold_off_ms }),
-            Action::Fail { id } => self.answer(now, &id, Reply::Failed("no way to serve it")),
+            Action::Refuse { id, hold_off_ms, reason } => {
+                self.answer(now, &id, Reply::Refused { hold_off_ms, reason });
+            }
+            Action::Fail { id, reason } => self.answer(now, &id, Reply::Failed(Failure::GivenUp(reason))),
             Action::Abandon { id, attempt } => {
                 // Once a request is answered nothing of it is out.
                 let held = self.clients.get(&id).and_then(|client| self.held.get(client));
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -1,6 +1,7 @@
 //! Requests and their attempts: taken, sent, ended and answered once.
 
 use super::*;
+use crate::reasons::{AttemptCause, Refusal};
 
 /// What a request is, for plug-ins.
 fn about(ask: &Ask, class: usize, left_ms: Millis) -> About<'_> {
@@ -15,6 +16,22 @@
     }
 }
 
+/// Why a request's next attempt is made.
+fn attempt_cause(held: &Held) -> AttemptCause {
+    match held.ended {
+        _ if !held.out.is_empty() => AttemptCause::Hedge,
+        None | Some(Outcome::Ok) => AttemptCause::First,
+        Some(Outcome::Timeout) => AttemptCause::AfterTimeout,
+        Some(Outcome::Error) => AttemptCause::AfterError,
+        Some(Outcome::Full) => AttemptCause::AfterFull,
+        Some(Outcome::Miss) => AttemptCause::AfterMiss,
+        Some(Outcome::ConnectFailed) => AttemptCause::AfterConnectFailed,
+        Some(Outcome::Reset) => AttemptCause::AfterReset,
+        Some(Outcome::Cancelled) => AttemptCause::AfterCancelled,
+        Some(Outcome::Moot) => AttemptCause::AfterUnsent,
+    }
+}
+
 impl Reducer {
     pub(super) fn asked(
         &mut self,
@@ -37,14 +54,15 @@
             Ok(known) => known,
             Err(why) => {
                 self.counters.bad_requests += 1;
-                let reply = Reply::Failed(why);
+                let reply = Reply::Failed(Failure::BadRequest(why));
                 return self.effects.push(Effect::Answer { client, reply });
             }
         };
         self.counters.taken += 1;
         self.counters.repeats += u64::from(ask.repeat);
         if !self.service.takes_requests() {
-            return self.decline(client, &ask.class); // The process could end before its answer.
+            // The process could end before its answer.
+            return self.decline(client, &ask.class, Refusal::ShuttingDown);
         }
         let mut guard = now + ask.timeout_ms - age_ms.max(0.0) - GUARD_MS;
         if let Some(kill) = self.service.ending().map(|at| at + self.patience()) {
@@ -52,8 +70,13 @@
         }
         let no_room = self.held_bytes + ask.body.len() > (self.net.memory as f64 * HELD_BODIES) as usize;
         let most = self.net.max_open.min((self.net.memory as f64 * HELD_STATE / HELD_EACH) as usize);
-        if self.held.len() >= most || no_room || guard <= now {
-            return self.decline(client, &ask.class);
+        let reasons = [
+            (self.held.len() >= most, Refusal::TooManyOpen),
+            (no_room, Refusal::BodiesFull),
+            (guard <= now, Refusal::NoTimeLeft),
+        ];
+        if let Some((_, reason)) = reasons.into_iter().find(|(holds, _)| *holds) {
+            return self.decline(client, &ask.class, reason);
         }
         let advice = self
             .plugins
@@ -75,17 +98,20 @@
         self.clients.insert(id.clone(), client);
         self.open_ids.insert(ask.id.clone());
         self.held_bytes += ask.body.len();
-        self.held
-            .insert(client, Held { id, ask: ask.into(), fragile, attempts: 0, out: Vec::new(), apart: 0.0 });
+        self.held.insert(
+            client,
+            Held { id, ask: ask.into(), fragile, attempts: 0, ended: None, out: Vec::new(), apart: 0.0 },
+        );
         self.at(guard, Due::Guard(client));
     }
 
     /// Refuses a request that is not taken.
-    fn decline(&mut self, client: Client, class: &str) {
+    fn decline(&mut self, client: Client, class: &str, reason: Refusal) {
         self.counters.shed += 1;
         self.counters.refused += 1;
+        self.counters.reasons.refusals.add(reason);
         self.results.count(class, ops::Disposition::Declined);
-        let reply = Reply::Refused { hold_off_ms: None };
+        let reply = Reply::Refused { hold_off_ms: None, reason };
         self.effects.push(Effect::Answer { client, reply });
     }
 
@@ -122,11 +148,19 @@
                 self.counters.unchanged += 1;
                 ops::Disposition::Succeeded
             }
-            Reply::Refused { .. } => {
+            Reply::Refused { reason, .. } => {
                 self.counters.refused += 1;
+                self.counters.reasons.refusals.add(*reason);
                 ops::Disposition::Declined
             }
-            Reply::Failed(_) | Reply::Health(_) => {
+            Reply::Failed(failure) => {
+                self.counters.failed += 1;
+                if let Failure::GivenUp(reason) = failure {
+                    self.counters.reasons.failures.add(*reason);
+                }
+                ops::Disposition::Aborted
+            }
+            Reply::Health(_) => {
                 self.counters.failed += 1;
                 ops::Disposition::Aborted
             }
@@ -143,8 +177,10 @@
         let Some(client) = self.clients.get(&fetch.id).copied() else { return };
         let Some(held) = self.held.get_mut(&client) else { return };
         let (number, ask, alone) = (held.attempts, held.ask.clone(), held.fragile);
+        let cause = attempt_cause(held);
         held.attempts += 1;
         self.counters.attempts += 1;
+        self.counters.reasons.attempts.add(cause);
         self.next_attempt += 1;
         let key = self.next_attempt;
         held.out.push(key);
@@ -169,7 +205,7 @@
         let unsent_ms = UNSENT_DIALS * self.net.dial_timeout_ms;
         let leave_by = now + fetch.within_ms.map_or(unsent_ms, |within| within.min(unsent_ms));
         self.at(leave_by, Due::Unsent(key));
-        let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone, leave_by });
+        let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone, leave_by, cause });
         if self.plugins.is_some() {
             self.watch.sent(&member);
         }
@@ -218,6 +254,7 @@
         let Some(out) = self.out.remove(&key) else { return };
         if let Some(held) = self.held.get_mut(&out.client) {
             held.out.retain(|other| *other != key);
+            held.ended = Some(outcome);
         }
         let counters = &mut self.counters;
         *match outcome {
@@ -293,9 +330,9 @@
                 self.counters.shed += 1;
                 // It has run: only where a repeat is harmless may it be called refused.
                 if fragile {
-                    Reply::Failed("no memory")
+                    Reply::Failed(Failure::AnswerDropped)
                 } else {
-                    Reply::Refused { hold_off_ms: None }
+                    Reply::Refused { hold_off_ms: None, reason: Refusal::AnswerDropped }
                 }
             } else {
                 Reply::Served(answer.body)
@@ -327,7 +364,7 @@
             let id = held.id.clone();
             self.counters.guarded += 1;
             self.events.push_back(Event::Dropped { id: id.clone() });
-            self.answer(now, &id, Reply::Failed("out of time"));
+            self.answer(now, &id, Reply::Failed(Failure::OutOfTime));
         }
     }
 }
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -1,6 +1,7 @@
 //! What the reducer is told, and what it asks for: requests, attempts, machines; no protocol.
 
 use super::*;
+use crate::reasons::{AttemptCause, Reason as _, Refusal};
 
 /// A request of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -65,6 +66,8 @@
     pub alone: bool,
     /// Its first byte leaves by then, on the clock of the reducer's inputs, or it isn't sent.
     pub leave_by: Millis,
+    /// Why it is asked.
+    pub cause: AttemptCause,
 }
 
 /// What a machine answered.
@@ -205,13 +208,50 @@
     Refused {
         /// When to come back.
         hold_off_ms: Option<Millis>,
+        /// Why.
+        reason: Refusal,
     },
     /// Failed.
-    Failed(&'static str),
+    Failed(Failure),
     /// Whether this router is ready.
     Health(bool),
 }
 
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It is out of form, or asks for what there isn't.
+    BadRequest(&'static str),
+    /// No further attempt is made, and it may have run.
+    GivenUp(Refusal),
+    /// It was served, may not be repeated, and its answer had to be dropped to stay within the memory limit.
+    AnswerDropped,
+    /// Its time is up, and nothing has answered it.
+    OutOfTime,
+}
+
+impl Failure {
+    /// What the client is told.
+    pub fn words(self) -> &'static str {
+        match self {
+            Self::BadRequest(why) => why,
+            Self::GivenUp(_) => "no way to serve it",
+            Self::AnswerDropped => "no memory",
+            Self::OutOfTime => "out of time",
+        }
+    }
+
+    /// Its name in log fields.
+    pub fn key(self) -> &'static str {
+        match self {
+            Self::BadRequest(_) => "bad_request",
+            Self::GivenUp(reason) => reason.key(),
+            Self::AnswerDropped => "answer_dropped",
+            Self::OutOfTime => "out_of_time",
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
--- a/src/runtime/board.rs
+++ b/src/runtime/board.rs
@@ -40,16 +40,16 @@
         while !out.is_empty() && sock.writable {
             match sock.write(out) {
                 Ok(bytes) => drop(out.drain(..bytes)),
-                Err(Io::Over(why)) => return self.board_failed(why),
-                Err(_) => break,
+                Err(Io::Closed | Io::Broken) => return self.board_failed("broken"),
+                Err(Io::Blocked) => break,
             }
         }
         while sock.readable {
             let (bytes, eof) = match sock.read(&mut self.buffer) {
                 Ok(bytes) => (bytes, false),
-                Err(Io::Over("closed")) => (0, true),
-                Err(Io::Over(why)) => return self.board_failed(why),
-                Err(_) => return,
+                Err(Io::Closed) => (0, true),
+                Err(Io::Broken) => return self.board_failed("broken"),
+                Err(Io::Blocked) => return,
             };
             let waiting = self.watch.waiting();
             let fed = if waiting { self.watch.feed(now, &self.buffer[..bytes], eof) } else { Ok(None) };
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -4,8 +4,9 @@
 use super::{Runtime, Source};
 use crate::api::Millis;
 use crate::front::{self, Conn, Standing};
+use crate::reasons::{ClientClose, Reason as _};
 use crate::reducer::{Client, Input};
-use crate::say;
+use crate::{say, trace_event};
 use calloop::Interest;
 use socket2::Socket;
 use std::io::ErrorKind;
@@ -19,15 +20,6 @@
 /// How long to wait before accepting again when there is no descriptor for another connection.
 const ACCEPT_PAUSE_MS: Millis = 20.0;
 
-/// Why a client's connection is over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Over {
-    /// Its client has closed or reset it.
-    Gone,
-    /// What comes on it can't be read, or it takes nothing of what it is owed.
-    Faulty,
-}
-
 /// What a client's connection has brought, for the reducer.
 fn heard_input(conn: u64, heard: front::Heard) -> Input {
     let client = |serial| Client { conn, serial };
@@ -46,19 +38,21 @@
                 return;
             }
             let Some((listener, _)) = &self.listener else { return };
-            let accepted = listener.accept().and_then(|(stream, _)| {
+            let accepted = listener.accept().and_then(|(stream, peer)| {
                 stream.set_nonblocking(true)?;
                 stream.set_nodelay(true)?;
                 let stream = Rc::new(Socket::from(stream));
                 let source = Source::Front(self.next_front + 1);
                 let token = register(&self.handle, stream.clone(), source, Interest::BOTH)?;
-                Ok(Sock { stream, token, readable: true, writable: true })
+                Ok((Sock { stream, token, readable: true, writable: true }, peer))
             });
             match accepted {
-                Ok(sock) => {
+                Ok((sock, peer)) => {
                     self.next_front += 1;
                     let conn = Conn::new(self.now()).patient(self.reducer.longest_ms());
                     self.fronts.insert(self.next_front, (sock, conn));
+                    let client = self.next_front;
+                    trace_event!(self.now(), "client_accepted", client, peer = %peer);
                     self.dirty.insert(Source::Front(self.next_front));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -88,7 +82,7 @@
                 continue;
             }
             self.reducer.counters.clients_shed += 1;
-            self.end_front(key, Over::Gone);
+            self.end_front(key, ClientClose::Shed);
             return true;
         }
         false
@@ -97,14 +91,14 @@
     /// Looks for clients that are silent, deaf or gone, and for requests that should have been whole by now.
     pub(super) fn sweep(&mut self, now: Millis) {
         let (mut over, mut idle) = (Vec::new(), Vec::new());
-        let empties = self.reducer.closes_at_rest(now);
+        let drains = self.reducer.closes_at_rest(now);
         for (key, (_, conn)) in &mut self.fronts {
             let before = conn.holding();
             match conn.standing(now) {
-                Standing::Good if empties && conn.at_rest() => idle.push(*key),
+                Standing::Good if drains && conn.at_rest() => idle.push((*key, ClientClose::Draining)),
                 Standing::Good => {}
-                Standing::Over if conn.at_rest() => idle.push(*key),
-                Standing::Over => over.push(*key),
+                Standing::Over(reason) if conn.at_rest() => idle.push((*key, reason)),
+                Standing::Over(reason) => over.push((*key, reason)),
                 Standing::Late(late) => {
                     self.inbox.extend(late.into_iter().map(|heard| heard_input(*key, heard)));
                 }
@@ -112,15 +106,17 @@
             self.coming = self.coming + conn.holding() - before;
         }
         self.reducer.counters.clients_stale += (over.len() + idle.len()) as u64;
-        over.into_iter().for_each(|key| self.end_front(key, Over::Faulty));
-        idle.into_iter().for_each(|key| self.rest_front(key));
+        over.into_iter().for_each(|(key, reason)| self.end_front(key, reason));
+        idle.into_iter().for_each(|(key, reason)| self.rest_front(key, reason));
     }
 
     /// Closes a connection that rests, unless its client has just sent something.
-    fn rest_front(&mut self, key: u64) {
+    fn rest_front(&mut self, key: u64, reason: ClientClose) {
         match self.read_unheard(key) {
             Some(over) => self.end_front(key, over),
-            None if self.fronts.get(&key).is_some_and(|(_, conn)| conn.at_rest()) => self.close_front(key),
+            None if self.fronts.get(&key).is_some_and(|(_, conn)| conn.at_rest()) => {
+                self.close_front(key, reason);
+            }
             None => drop(self.dirty.insert(Source::Front(key))),
         }
     }
@@ -130,21 +126,22 @@
             return self.end_front(key, over);
         }
         // One that is never at rest for long is closed as its last answer has left.
-        let empties = self.reducer.closes_at_rest(self.now());
-        let done = |(_, conn): &(Sock, Conn)| conn.over() || (empties && conn.at_rest());
-        if self.fronts.get(&key).is_some_and(done) {
-            self.close_front(key);
+        let drains = self.reducer.closes_at_rest(self.now());
+        match self.fronts.get(&key) {
+            Some((_, conn)) if conn.over() => self.close_front(key, ClientClose::NotKept),
+            Some((_, conn)) if drains && conn.at_rest() => self.close_front(key, ClientClose::Draining),
+            Some(_) | None => {}
         }
     }
 
     /// Reads what a client has sent, also where the loop has had no word of it yet.
-    pub(super) fn read_unheard(&mut self, key: u64) -> Option<Over> {
+    pub(super) fn read_unheard(&mut self, key: u64) -> Option<ClientClose> {
         self.fronts.get_mut(&key)?.0.readable = true;
         self.read_front(key)
     }
 
     /// Reads what a client has sent; why its connection is over, if it is.
-    pub(super) fn read_front(&mut self, key: u64) -> Option<Over> {
+    pub(super) fn read_front(&mut self, key: u64) -> Option<ClientClose> {
         let mut read = 0;
         loop {
             let now = self.now();
@@ -158,8 +155,9 @@
             }
             let bytes = match sock.read(&mut self.buffer) {
                 Ok(bytes) => bytes,
-                Err(Io::Over(_)) => return Some(Over::Gone),
-                Err(_) => return None,
+                Err(Io::Closed) => return Some(ClientClose::PeerClosed),
+                Err(Io::Broken) => return Some(ClientClose::PeerReset),
+                Err(Io::Blocked) => return None,
             };
             read += bytes;
             let before = conn.holding();
@@ -174,7 +172,7 @@
                 Err(fault) => {
                     self.reducer.counters.client_faults += 1;
                     say!("a client's record can't be read: {fault:?}");
-                    return Some(Over::Faulty);
+                    return Some(ClientClose::Unreadable);
                 }
             }
             if self.coming > self.most_coming {
@@ -189,11 +187,11 @@
         let Some(key) = most.map(|(key, _)| *key) else { return };
         self.reducer.counters.client_faults += 1;
         say!("no memory for what a client sends");
-        self.end_front(key, Over::Faulty);
+        self.end_front(key, ClientClose::NoMemory);
     }
 
     /// Writes what a client is owed; why its connection is over, if it is.
-    pub(super) fn write_front(&mut self, key: u64) -> Option<Over> {
+    pub(super) fn write_front(&mut self, key: u64) -> Option<ClientClose> {
         let (mut written, now) = (0, self.now());
         let (sock, conn) = self.fronts.get_mut(&key)?;
         let deaf = !conn.listens();
@@ -204,8 +202,8 @@
                     conn.wrote(now, bytes);
                     written += bytes;
                 }
-                Err(Io::Over(_)) => break Some(Over::Gone),
-                Err(_) => break None,
+                Err(Io::Closed | Io::Broken) => break Some(ClientClose::PeerReset),
+                Err(Io::Blocked) => break None,
             }
         };
         if deaf && conn.listens() && sock.readable {
@@ -218,24 +216,39 @@
     }
 
     /// A client's connection is over: what is owed to others on it is written as far as that goes at once.
-    pub(super) fn end_front(&mut self, key: u64, over: Over) {
-        if over == Over::Faulty && self.write_front(key).is_none() {
-            return self.close_front(key);
+    pub(super) fn end_front(&mut self, key: u64, reason: ClientClose) {
+        let peer_is_there = match reason {
+            ClientClose::PeerClosed | ClientClose::PeerReset | ClientClose::Panic => false,
+            ClientClose::Shed => false, // It doesn't linger: its descriptor is what is wanted.
+            ClientClose::Unreadable
+            | ClientClose::NoMemory
+            | ClientClose::Silent
+            | ClientClose::Idle
+            | ClientClose::Deaf
+            | ClientClose::Draining
+            | ClientClose::NotKept
+            | ClientClose::ProcessExit => true,
+        };
+        if peer_is_there && self.write_front(key).is_none() {
+            return self.close_front(key, reason);
         }
-        if let Some(sock) = self.forget_front(key) {
+        if let Some(sock) = self.forget_front(key, reason) {
             self.handle.remove(sock.token);
         }
     }
 
     /// Closes a client's connection from this side.
-    pub(super) fn close_front(&mut self, key: u64) {
-        if let Some(sock) = self.forget_front(key) {
+    pub(super) fn close_front(&mut self, key: u64, reason: ClientClose) {
+        if let Some(sock) = self.forget_front(key, reason) {
             self.linger(Source::Front(key), sock);
         }
     }
 
-    fn forget_front(&mut self, key: u64) -> Option<Sock> {
+    pub(super) fn forget_front(&mut self, key: u64, reason: ClientClose) -> Option<Sock> {
         let (sock, conn) = self.fronts.remove(&key)?;
+        self.reducer.counters.reasons.client_closes.add(reason);
+        let (open, unwritten) = (conn.open(), conn.unwritten());
+        trace_event!(self.now(), "client_closed", client = key, reason = reason.key(), open, unwritten);
         self.coming -= conn.holding();
         self.inbox.push(Input::Closed { conn: key });
         Some(sock)
--- /dev/null
+++ b/src/runtime/events.rs
@@ -0,0 +1,91 @@
+//! What the log says, at debug level, of each request, attempt and answer: the reducer's inputs and effects as events.
+//!
+//! With `client_accepted`, `client_closed` and `endpoint_closed` beside them, one id can be followed from its last byte
+//! to its answer or to the close that ended it. Nothing here is formatted while the level is off.
+
+use crate::api::Millis;
+use crate::log::tracing::{enabled, Level};
+use crate::reasons::Reason as _;
+use crate::reducer::{Effect, End, Failure, Input, Reply};
+use crate::trace_event;
+
+/// An input is given to the reducer.
+pub(super) fn input(now: Millis, input: &Input) {
+    if !enabled!(Level::DEBUG) {
+        return;
+    }
+    match input {
+        Input::Asked { client, ask, age_ms } => {
+            let (connection, serial) = (client.conn, client.serial);
+            let request = ask.as_ref().map_or("-", |ask| ask.id.as_str());
+            let why = ask.as_ref().err().copied().unwrap_or("");
+            trace_event!(now, "request_read", request, client = connection, serial, age_ms, why);
+        }
+        Input::Aborted { client } => {
+            trace_event!(now, "request_aborted", client = client.conn, serial = client.serial);
+        }
+        Input::Ended { attempt, end } => {
+            let how = match end {
+                End::Answer(answer) => format!("{:?}", answer.outcome),
+                End::Lost(progress) => format!("lost {progress:?}"),
+                End::NoRoom => "no room".to_owned(),
+                End::Overdue => "overdue".to_owned(),
+            };
+            trace_event!(now, "attempt_ended", attempt, how);
+        }
+        Input::Progressed { attempt, progress } => {
+            trace_event!(now, "attempt_progressed", attempt, progress = ?progress);
+        }
+        Input::Terminate => trace_event!(now, "told_to_end",),
+        Input::DoorShut => trace_event!(now, "stopped_listening",),
+        Input::Health { .. }
+        | Input::Flushed { .. }
+        | Input::Closed { .. }
+        | Input::Probed { .. }
+        | Input::Notice { .. }
+        | Input::Due
+        | Input::HandedOver { .. }
+        | Input::Changed { .. }
+        | Input::ColdPart(_)
+        | Input::Operator { .. } => {}
+    }
+}
+
+/// An effect is carried out.
+pub(super) fn effect(now: Millis, effect: &Effect) {
+    if !enabled!(Level::DEBUG) {
+        return;
+    }
+    match effect {
+        Effect::Answer { client, reply } => {
+            let (client, serial, (answer, reason)) = (client.conn, client.serial, answer(reply));
+            trace_event!(now, "request_answered", client, serial, answer, reason);
+        }
+        Effect::Send { attempt, member, call } => {
+            let (request, endpoint, cause) = (call.ask.id.as_str(), member.as_str(), call.cause.key());
+            trace_event!(now, "attempt_queued", attempt, request, endpoint, cause);
+        }
+        Effect::Stop { attempt } => trace_event!(now, "attempt_stopped", attempt),
+        Effect::Exit { by } => trace_event!(now, "all_answered", exit_by_ms = by),
+        Effect::Probe { .. }
+        | Effect::Listed { .. }
+        | Effect::Retire { .. }
+        | Effect::Reborn { .. }
+        | Effect::Change { .. }
+        | Effect::Verdict { .. }
+        | Effect::Report { .. }
+        | Effect::Log(_)
+        | Effect::StopListening => {}
+    }
+}
+
+fn answer(reply: &Reply) -> (&'static str, &'static str) {
+    match reply {
+        Reply::Served(_) => ("served", ""),
+        Reply::Unchanged => ("unchanged", ""),
+        Reply::Refused { reason, .. } => ("refused", reason.key()),
+        Reply::Failed(failure) => ("failed", Failure::key(*failure)),
+        Reply::Health(true) => ("ready", ""),
+        Reply::Health(false) => ("not_ready", ""),
+    }
+}
--- a/src/runtime/lingering.rs
+++ b/src/runtime/lingering.rs
@@ -48,7 +48,7 @@
             match sock.read(&mut self.buffer) {
                 Ok(bytes) if bytes < *left => *left -= bytes,
                 Err(Io::Blocked) => return true,
-                Ok(_) | Err(Io::Over(_)) => {
+                Ok(_) | Err(Io::Closed | Io::Broken) => {
                     self.drop_lingering(source);
                     return true;
                 }
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -6,8 +6,9 @@
 use crate::addresses::{DialKey, Endpoint, Failure};
 use crate::api::{CacheId, LoadReport, Outcome};
 use crate::back::{self, Dialling, Leave, LinkKey, Unsent};
+use crate::reasons::{EndpointClose, Reason as _};
 use crate::reducer::{AttemptKey, Call, End, Input, Progress};
-use crate::say;
+use crate::{say, trace_event};
 use calloop::Interest;
 use std::io;
 use std::rc::Rc;
@@ -124,7 +125,7 @@
                     self.link_socks.insert(key, Sock { stream, token, readable: true, writable: true });
                     self.dirty.insert(Source::Link(key));
                 }
-                Err(_) => self.link_down(key, "cannot be registered"),
+                Err(_) => self.link_down(key, EndpointClose::NotRegistered),
             }
         }
         self.dialling(todo);
@@ -153,7 +154,7 @@
         }
     }
 
-    pub(super) fn read_link(&mut self, key: LinkKey) -> Option<&'static str> {
+    pub(super) fn read_link(&mut self, key: LinkKey) -> Option<EndpointClose> {
         let mut read = 0;
         loop {
             let now = self.now();
@@ -169,8 +170,9 @@
             }
             let bytes = match sock.read(&mut self.buffer) {
                 Ok(bytes) => bytes,
-                Err(Io::Over(why)) => return Some(why),
-                Err(_) => return None,
+                Err(Io::Closed) => return Some(EndpointClose::PeerClosed),
+                Err(Io::Broken) => return Some(EndpointClose::Broken),
+                Err(Io::Blocked) => return None,
             };
             read += bytes;
             let (heard, fault) = self.links.receive(now, key, &self.buffer[..bytes]);
@@ -195,16 +197,16 @@
             }
             if let Some(fault) = fault {
                 if fault == back::WRONG_NAME {
-                    return Some(WRONG_NAME);
+                    return Some(EndpointClose::WrongName);
                 }
                 self.reducer.counters.endpoint_faults += 1;
                 say!("a machine's answer can't be read: {}", fault.0);
-                return Some("unreadable");
+                return Some(EndpointClose::Unreadable);
             }
         }
     }
 
-    pub(super) fn write_link(&mut self, key: LinkKey) -> Option<&'static str> {
+    pub(super) fn write_link(&mut self, key: LinkKey) -> Option<EndpointClose> {
         let now = self.now();
         let sock = self.link_socks.get_mut(&key)?;
         loop {
@@ -220,42 +222,63 @@
                         self.inbox.push(Input::Progressed { attempt, progress });
                     }
                 }
-                Err(Io::Over(why)) => return Some(why),
-                Err(_) => break,
+                Err(Io::Closed | Io::Broken) => return Some(EndpointClose::Broken),
+                Err(Io::Blocked) => break,
             }
         }
         None
     }
 
-    pub(super) fn link_down(&mut self, key: LinkKey, why: &'static str) {
+    pub(super) fn link_down(&mut self, key: LinkKey, why: EndpointClose) {
         let now = self.now();
         if let Some(sock) = self.link_socks.remove(&key) {
             match why {
                 // Its peer is well, and may have begun to say something: it isn't reset under that.
-                "idle" => self.linger(Source::Link(key), sock),
-                _ => self.handle.remove(sock.token),
+                EndpointClose::Idle => self.linger(Source::Link(key), sock),
+                EndpointClose::PeerClosed
+                | EndpointClose::Broken
+                | EndpointClose::Unreadable
+                | EndpointClose::Stalled
+                | EndpointClose::NotUp
+                | EndpointClose::NoGreeting
+                | EndpointClose::NotWanted
+                | EndpointClose::NotRegistered
+                | EndpointClose::WrongName
+                | EndpointClose::Restarted
+                | EndpointClose::Panic => self.handle.remove(sock.token),
             }
         }
+        self.reducer.counters.reasons.endpoint_closes.add(why);
         let machine = self.links.member(key).map(CacheId::to_string).unwrap_or_default();
         let endpoint = self.links.endpoint(key).cloned();
-        for (_, endpoint) in self.links.dials(key).into_iter().filter(|_| why == "not up in time") {
+        for (_, endpoint) in self.links.dials(key).into_iter().filter(|_| why == EndpointClose::NotUp) {
             self.reducer.counters.dials_failed += 1;
-            say!({ machine, address = %endpoint, outcome = why } "no connection to {endpoint}: {why}");
+            say!({ machine, address = %endpoint, outcome = %why } "no connection to {endpoint}: {why}");
         }
         let blame = match why {
-            "closed" | "broken" | "an answer stopped short" => Some(Failure::Broken),
-            "no greeting" => Some(Failure::Mute),
-            WRONG_NAME => Some(Failure::WrongName),
-            _ => None,
+            EndpointClose::PeerClosed | EndpointClose::Broken | EndpointClose::Stalled => {
+                Some(Failure::Broken)
+            }
+            EndpointClose::NoGreeting => Some(Failure::Mute),
+            EndpointClose::WrongName => Some(Failure::WrongName),
+            EndpointClose::Unreadable
+            | EndpointClose::Idle
+            | EndpointClose::NotUp
+            | EndpointClose::NotWanted
+            | EndpointClose::NotRegistered
+            | EndpointClose::Restarted
+            | EndpointClose::Panic => None,
         };
         // A close at rest is how idle connections end.
-        let rested = self.links.rested(key) && why == "closed";
+        let rested = self.links.rested(key) && why == EndpointClose::PeerClosed;
         let ended = self.links.down(now, key, blame.filter(|_| !rested));
+        let (reason, lost) = (why.key(), ended.lost.len());
+        trace_event!(now, "endpoint_closed", link = key, endpoint = machine, reason, lost);
         ended.dials.iter().for_each(|number| self.close_dial(*number));
         ended.left.iter().for_each(say_left);
         if let Some(endpoint) = endpoint.filter(|_| !ended.lost.is_empty()) {
             let attempts = ended.lost.len();
-            say!({ machine, address = %endpoint, attempts, outcome = why }
+            say!({ machine, address = %endpoint, attempts, outcome = %why }
                 "connection to {endpoint} lost with {attempts} attempts: {why}");
         }
         for (attempt, progress) in ended.lost {
@@ -277,6 +300,3 @@
     say!({ machine = %member, address = %endpoint, outcome = %why }
         "{member} is not reached over {endpoint} for {pause_ms:.0} ms: {why}");
 }
-
-/// Why a connection ends on which another machine than the one meant has answered.
-const WRONG_NAME: &str = "another machine answers there";
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 
 mod board;
 mod clients;
+mod events;
 mod fleet;
 mod handover;
 mod lingering;
@@ -19,6 +20,7 @@
 use crate::operator::Operator;
 use crate::ops;
 use crate::ops::control::Place;
+use crate::reasons::{ClientClose, EndpointClose};
 use crate::reducer::{Effect, Input, Reducer, Reply};
 use crate::say;
 use calloop::signals::{Signal, Signals};
@@ -248,6 +250,7 @@
         }
     }
     state.leave_seat(true);
+    state.close_rest();
     state.leave_state();
     say!(always; "{} ends; {}", config.name, state.reducer.counters);
     Ok(())
@@ -278,7 +281,7 @@
         }
         let resting = self.fronts.iter().filter(|(_, (_, conn))| conn.at_rest());
         let resting: Vec<u64> = resting.map(|(key, _)| *key).collect();
-        resting.into_iter().for_each(|key| self.close_front(key));
+        resting.into_iter().for_each(|key| self.close_front(key, ClientClose::Draining));
     }
 
     /// When the loop is to wake up at the latest.
@@ -381,9 +384,9 @@
             self.reducer.counters.panics += 1;
             say!("a panic ends {source:?}");
             match source {
-                Source::Link(key) => self.link_down(key, "panic"),
+                Source::Link(key) => self.link_down(key, EndpointClose::Panic),
                 Source::Dial(key) => self.close_dial(key),
-                Source::Front(key) => self.end_front(key, clients::Over::Gone),
+                Source::Front(key) => self.end_front(key, ClientClose::Panic),
                 Source::Board => self.board_failed("panic"),
                 Source::Caller(key) => self.close_caller(key),
                 Source::Listener | Source::Callers | Source::Fleet => {}
@@ -401,6 +404,7 @@
 
     fn step(&mut self, input: Input) {
         let now = self.now();
+        events::input(now, &input);
         let step = catch_unwind(AssertUnwindSafe(|| self.reducer.step(now, input)));
         let Ok(effects) = step else {
             // The guard timers still answer whatever this leaves open.
@@ -411,6 +415,7 @@
     }
 
     fn carry_out(&mut self, now: Millis, effect: Effect) {
+        events::effect(now, &effect);
         match effect {
             Effect::Answer { client, reply } => {
                 if let Some((_, conn)) = self.fronts.get_mut(&client.conn) {
@@ -438,7 +443,7 @@
             Effect::Retire { member } => self.links.retire(&member),
             Effect::Reborn { member, at } => {
                 for key in self.links.older(&member, at) {
-                    self.link_down(key, "its machine has started anew");
+                    self.link_down(key, EndpointClose::Restarted);
                 }
             }
             Effect::Change { caller, name, out } => self.change_state(caller, &name, out),
@@ -505,10 +510,12 @@
     }
 }
 
-impl Drop for Runtime {
+impl Runtime {
     /// Its time is up with clients that still read: what has come is read away, so that the close resets nothing.
-    fn drop(&mut self) {
-        for (sock, ..) in self.fronts.values_mut() {
+    fn close_rest(&mut self) {
+        let rest: Vec<u64> = self.fronts.keys().copied().collect();
+        for key in rest {
+            let Some(mut sock) = self.forget_front(key, ClientClose::ProcessExit) else { continue };
             let _ = sock.stream.shutdown(Shutdown::Write); // It may have gone.
             for _ in 0..LAST_READS {
                 if sock.read(&mut self.buffer).is_err() {
--- a/src/runtime/operators.rs
+++ b/src/runtime/operators.rs
@@ -72,8 +72,8 @@
             match caller.sock.read(&mut self.buffer[..ops::MAX_CALL]) {
                 Ok(_) if caller.lingers => continue,
                 Ok(bytes) => caller.bytes.extend_from_slice(&self.buffer[..bytes]),
-                Err(Io::Over(_)) => return self.close_caller(key),
-                Err(_) => break,
+                Err(Io::Closed | Io::Broken) => return self.close_caller(key),
+                Err(Io::Blocked) => break,
             }
             match ops::read(&caller.bytes) {
                 Ok(None) => {}
@@ -120,8 +120,8 @@
                         return self.close_caller(key);
                     }
                 }
-                Err(Io::Over(_)) => return self.close_caller(key),
-                Err(_) => return,
+                Err(Io::Closed | Io::Broken) => return self.close_caller(key),
+                Err(Io::Blocked) => return,
             }
         }
     }
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -28,8 +28,10 @@
 pub(super) enum Io {
     /// The socket can do no more now.
     Blocked,
-    /// It has ended.
-    Over(&'static str),
+    /// The peer has closed its side.
+    Closed,
+    /// It is broken: reset by its peer, or its path is gone.
+    Broken,
 }
 
 pub(super) fn register<F: AsFd + 'static>(
@@ -95,14 +97,14 @@
 pub(super) fn once(able: &mut bool, mut io: impl FnMut() -> io::Result<usize>) -> Result<usize, Io> {
     loop {
         match io() {
-            Ok(0) => return Err(Io::Over("closed")),
+            Ok(0) => return Err(Io::Closed),
             Ok(bytes) => return Ok(bytes),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 *able = false;
                 return Err(Io::Blocked);
             }
-            Err(_) => return Err(Io::Over("broken")),
+            Err(_) => return Err(Io::Broken),
         }
     }
 }
--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -87,3 +87,30 @@
         assert!(!passed && text.contains("not 'test | cause | issue N'"), "{line}: {text}");
     }
 }
+
+/// A tree with one decision module of this text; whether `.ci/layers` passes it.
+fn layers(test: &str, policy: &str) -> bool {
+    let tree: PathBuf = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("layers-{test}"));
+    let _ = std::fs::remove_dir_all(&tree); // There may be none from an earlier run.
+    std::fs::create_dir_all(tree.join("src/policy")).expect("made");
+    std::fs::write(tree.join("src/policy/one.rs"), policy).expect("written");
+    let script = concat!(env!("CARGO_MANIFEST_DIR"), "/.ci/layers");
+    Command::new("bash").arg(script).arg(&tree).status().expect("it runs").success()
+}
+
+#[test]
+fn the_decision_module_may_use_the_api_alone_and_neither_clock_nor_socket() {
+    assert!(layers("good", "//! Decides one thing.\nuse crate::api::Millis;\n"));
+    assert!(layers("sibling", "//! Decides one thing.\nuse crate::policy::health::Health;\n"));
+    for (test, line) in [
+        ("reducer", "use crate::reducer::Reducer;"),
+        ("clock", "let now = std::time::Instant::now();"),
+        ("unix", "let now = SystemTime::now();"),
+        ("file", "use std::fs::File;"),
+        ("log", "say!(\"x\");"),
+        ("long", &format!("// {}", "x".repeat(120))),
+    ] {
+        assert!(!layers(test, &format!("//! Decides one thing.\n{line}\n")), "{line}");
+    }
+    assert!(!layers("head", "use crate::api::Millis;\n"), "it doesn't say what it decides");
+}
