Close no connection and no listener over what its client is still owed

Now nothing more is read, they are failed at once (Input::Unreadable), and the connection closes as the last answer has left. - runtime/mod.rs StopListening: the listener closed even where `accept` had returned for want of room. Now it closes when its queue is seen empty, tried every 20 ms; the process doesn't end before, unless its time is up. - runtime/mod.rs close_all: resting connections were closed unread, also one accepted in the same turn, whose request had come long before. It goes through rest_front, which reads first. - runtime/lingering.rs: a twentieth of the descriptors could linger; beyond it the oldest was cut off, which resets what crosses. Places that no client has may be taken, too; an accept takes them back.

A first request that is half there after 2 s was closed without a word (front.rs standing, Silent), which can cross its last byte. It is told, as any other late one; a connection on which nothing has begun is still closed after 2 s. The model test said so and is changed to want the answer and then the close.

--- a/src/front.rs
+++ b/src/front.rs
@@ -24,7 +24,7 @@
 /// With more than that, nothing more is read of a client that goes on asking.
 const MAX_UNHEARD: usize = 2 * MAX_UNWRITTEN;
 
-/// A connection's first request is whole by then, and each other one so long after its beginning.
+/// A connection's first request has begun by then, and each is whole so long after its beginning.
 const WHOLE_MS: Millis = 2000.0;
 /// Clients close idle connections after 4 s. One that is idle for longer has lost its client, or is kept for
 /// good; it would hold its descriptor for ever.
@@ -105,9 +105,12 @@
     opened: Millis,
     moved: Millis,
     deaf_ms: Millis,
-    /// Some request has come whole.
+    /// Some request has come whole, or was turned away.
     asked: bool,
-    closing: bool,
+    /// It is closed, for this reason, once all that is open on it is answered and the answers have left.
+    closing: Option<ClientClose>,
+    /// Nothing more is read from it.
+    deaf: bool,
 }
 
 impl Conn {
@@ -198,7 +201,13 @@
                 let (params, body) = open.leave(Stage::Whole);
                 self.holding -= params.len() + body.len();
                 self.asked = true;
-                let pairs = fastcgi::pairs(&params)?;
+                let pairs = match fastcgi::pairs(&params) {
+                    Ok(pairs) => pairs,
+                    Err(fault) => {
+                        self.open.remove(&request); // Nobody will answer it.
+                        return Err(fault);
+                    }
+                };
                 if find(&pairs, "SCRIPT_NAME") == Ok(Some("/alive")) {
                     return Ok(Some(Heard::Health(serial)));
                 }
@@ -269,7 +278,9 @@
         else {
             return false;
         };
-        self.closing |= self.open.remove(&request).is_some_and(|open| !open.keep);
+        if self.open.remove(&request).is_some_and(|open| !open.keep) {
+            self.closing.get_or_insert(ClientClose::NotKept);
+        }
         let (head, body): (String, &[u8]) = match reply {
             Reply::Served(body) => {
                 let length = body.len();
@@ -309,6 +320,16 @@
         self.taken_back += bytes;
     }
 
+    /// Nothing more is read from it: what is half there is dropped, what has come whole is still owed its answer, and then
+    /// it is closed.
+    pub fn finish(&mut self, reason: ClientClose) {
+        self.closing = Some(reason);
+        self.deaf = true;
+        self.decoder = Decoder::default();
+        self.open.retain(|_, open| !open.coming());
+        self.holding = 0;
+    }
+
     /// Whether it could be closed now with nothing lost that has been read: nothing is open, half read or unwritten.
     pub fn at_rest(&self) -> bool {
         self.open.is_empty() && self.unwritten == 0 && self.decoder.pending() == 0
@@ -316,12 +337,11 @@
 
     /// How it stands with the clock. A client is owed word or a close soon, and descriptors are few.
     pub fn standing(&mut self, now: Millis) -> Standing {
-        let awaits = self.open.values().any(|open| !open.coming());
-        let silent = !self.asked && self.unwritten == 0 && now - self.opened > WHOLE_MS;
-        let idle = self.open.is_empty() && self.unwritten == 0 && now - self.moved > IDLE_MS;
+        let quiet = self.open.is_empty() && self.unwritten == 0;
+        let silent = quiet && !self.asked && now - self.opened > WHOLE_MS;
+        let idle = quiet && now - self.moved > IDLE_MS;
         let deaf = self.unwritten > 0 && now - self.moved > self.deaf_ms;
-        let reasons =
-            [(idle, ClientClose::Idle), (deaf, ClientClose::Deaf), (silent && !awaits, ClientClose::Silent)];
+        let reasons = [(idle, ClientClose::Idle), (deaf, ClientClose::Deaf), (silent, ClientClose::Silent)];
         if let Some((_, reason)) = reasons.into_iter().find(|(holds, _)| *holds) {
             return Standing::Over(reason);
         }
@@ -332,10 +352,10 @@
             late.push(Heard::Asked(open.serial, Err("it never came whole"), 0.0));
         }
         if late.is_empty() {
-            Standing::Good
-        } else {
-            Standing::Late(late)
+            return Standing::Good;
         }
+        self.asked = true;
+        Standing::Late(late)
     }
 
     /// Its place among those to be shed when descriptors are short, first to last: those that have never asked
@@ -385,12 +405,12 @@
 
     /// Whether it may be read from.
     pub fn listens(&self) -> bool {
-        self.unwritten < MAX_UNHEARD
+        !self.deaf && self.unwritten < MAX_UNHEARD
     }
 
-    /// Whether it has done what its client wanted of it, and is to be closed.
-    pub fn over(&self) -> bool {
-        self.closing && self.out.is_empty() && self.open.is_empty()
+    /// Why it is to be closed now: all that is owed on it has left, and nothing more is wanted.
+    pub fn over(&self) -> Option<ClientClose> {
+        self.closing.filter(|_| self.out.is_empty() && self.open.is_empty())
     }
 }
 
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -262,9 +262,11 @@
             }
             Input::Closed { conn } => {
                 self.buffered_all -= self.buffered.remove(&conn).unwrap_or(0);
-                let all = Client { conn, serial: 0 }..=Client { conn, serial: u64::MAX };
-                let gone: Vec<Client> = self.held.range(all).map(|(client, _)| *client).collect();
-                gone.into_iter().for_each(|client| self.aborted(now, client));
+                self.open_on(conn).into_iter().for_each(|client| self.aborted(now, client));
+            }
+            Input::Unreadable { conn } => {
+                let open = self.open_on(conn);
+                open.into_iter().for_each(|client| self.fail(now, client, Failure::BadConnection));
             }
             Input::Progressed { attempt, progress } => {
                 if let Some(out) = self.out.get_mut(&attempt) {
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -360,11 +360,22 @@
         let Some(held) = self.held.get(&client) else { return };
         self.stop_all(now, held.out.clone(), Outcome::Timeout, false);
         self.settle(now);
-        if let Some(held) = self.held.get(&client) {
-            let id = held.id.clone();
+        if self.held.contains_key(&client) {
             self.counters.guarded += 1;
-            self.events.push_back(Event::Dropped { id: id.clone() });
-            self.answer(now, &id, Reply::Failed(Failure::OutOfTime));
+            self.fail(now, client, Failure::OutOfTime);
         }
     }
+
+    /// Requests of a client connection that are owed an answer.
+    pub(super) fn open_on(&self, conn: u64) -> Vec<Client> {
+        let all = Client { conn, serial: 0 }..=Client { conn, serial: u64::MAX };
+        self.held.range(all).map(|(client, _)| *client).collect()
+    }
+
+    /// Fails a request, whatever the module has in mind with it.
+    pub(super) fn fail(&mut self, now: Millis, client: Client, failure: Failure) {
+        let Some(id) = self.held.get(&client).map(|held| held.id.clone()) else { return };
+        self.events.push_back(Event::Dropped { id: id.clone() });
+        self.answer(now, &id, Reply::Failed(failure));
+    }
 }
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -134,6 +134,12 @@
         /// The connection.
         conn: u64,
     },
+    /// What comes on a client's connection can't be read or held: what is open on it is to be answered, as nothing more is
+    /// heard of it.
+    Unreadable {
+        /// The connection.
+        conn: u64,
+    },
     /// An attempt has come further.
     Progressed {
         /// Which.
@@ -228,6 +234,8 @@
     AnswerDropped,
     /// Its time is up, and nothing has answered it.
     OutOfTime,
+    /// What its client sent on the same connection can't be read or held.
+    BadConnection,
 }
 
 impl Failure {
@@ -238,6 +246,7 @@
             Self::GivenUp(_) => "no way to serve it",
             Self::AnswerDropped => "no memory",
             Self::OutOfTime => "out of time",
+            Self::BadConnection => "its connection can't be read",
         }
     }
 
@@ -248,6 +257,7 @@
             Self::GivenUp(reason) => reason.key(),
             Self::AnswerDropped => "answer_dropped",
             Self::OutOfTime => "out_of_time",
+            Self::BadConnection => "bad_connection",
         }
     }
 }
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -30,14 +30,38 @@
     }
 }
 
+/// How a round of accepting ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Accepted {
+    /// Nobody waits.
+    All,
+    /// More may wait: others have their turn first.
+    Some,
+    /// No more can be taken now; it is tried again shortly.
+    Paused,
+}
+
 impl Runtime {
-    pub(super) fn accept(&mut self) {
+    /// Accepts connections. Where the listener is to close, it does once nobody waits in its queue: what the system has
+    /// let in there is nobody else's, and a close would reset it.
+    pub(super) fn accept(&mut self) -> Accepted {
+        let accepted = self.accept_waiting();
+        match accepted {
+            Accepted::All if self.stops_listening => self.close_listener(),
+            Accepted::All => {}
+            Accepted::Some => drop(self.dirty.insert(Source::Listener)),
+            Accepted::Paused => self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS),
+        }
+        accepted
+    }
+
+    fn accept_waiting(&mut self) -> Accepted {
         for _ in 0..ACCEPT_AT_ONCE {
+            let Some((listener, _)) = &self.listener else { return Accepted::All };
+            let listener = listener.clone();
             if self.fronts.len() >= self.reducer.most_clients() && !self.shed_front() {
-                self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS);
-                return;
+                return Accepted::Paused;
             }
-            let Some((listener, _)) = &self.listener else { return };
             let accepted = listener.accept().and_then(|(stream, peer)| {
                 stream.set_nonblocking(true)?;
                 stream.set_nodelay(true)?;
@@ -49,23 +73,30 @@
             match accepted {
                 Ok((sock, peer)) => {
                     self.next_front += 1;
-                    let conn = Conn::new(self.now()).patient(self.reducer.longest_ms());
-                    self.fronts.insert(self.next_front, (sock, conn));
                     let client = self.next_front;
+                    let conn = Conn::new(self.now()).patient(self.reducer.longest_ms());
+                    self.fronts.insert(client, (sock, conn));
                     trace_event!(self.now(), "client_accepted", client, peer = %peer);
-                    self.dirty.insert(Source::Front(self.next_front));
+                    self.dirty.insert(Source::Front(client));
+                    self.bound_lingering();
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Accepted::All,
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted || e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => {
                     say!("cannot accept: {e}");
                     self.shed_front();
-                    self.accept_from = Some(self.now() + ACCEPT_PAUSE_MS);
-                    return;
+                    return Accepted::Paused;
                 }
             }
         }
-        self.dirty.insert(Source::Listener);
+        Accepted::Some
+    }
+
+    fn close_listener(&mut self) {
+        if let Some((_, token)) = self.listener.take() {
+            self.handle.remove(token);
+            trace_event!(self.now(), "listener_closed",);
+        }
     }
 
     /// Makes room for another client: the silent and then the longest idle ones go first. What has just come on one
@@ -111,7 +142,7 @@
     }
 
     /// Closes a connection that rests, unless its client has just sent something.
-    fn rest_front(&mut self, key: u64, reason: ClientClose) {
+    pub(super) fn rest_front(&mut self, key: u64, reason: ClientClose) {
         match self.read_unheard(key) {
             Some(over) => self.end_front(key, over),
             None if self.fronts.get(&key).is_some_and(|(_, conn)| conn.at_rest()) => {
@@ -127,10 +158,11 @@
         }
         // One that is never at rest for long is closed as its last answer has left.
         let drains = self.reducer.closes_at_rest(self.now());
-        match self.fronts.get(&key) {
-            Some((_, conn)) if conn.over() => self.close_front(key, ClientClose::NotKept),
-            Some((_, conn)) if drains && conn.at_rest() => self.close_front(key, ClientClose::Draining),
-            Some(_) | None => {}
+        let Some((_, conn)) = self.fronts.get(&key) else { return };
+        match conn.over() {
+            Some(reason) => self.close_front(key, reason),
+            None if drains && conn.at_rest() => self.close_front(key, ClientClose::Draining),
+            None => {}
         }
     }
 
@@ -172,7 +204,8 @@
                 Err(fault) => {
                     self.reducer.counters.client_faults += 1;
                     say!("a client's record can't be read: {fault:?}");
-                    return Some(ClientClose::Unreadable);
+                    self.finish_front(key, ClientClose::Unreadable);
+                    return None;
                 }
             }
             if self.coming > self.most_coming {
@@ -187,7 +220,16 @@
         let Some(key) = most.map(|(key, _)| *key) else { return };
         self.reducer.counters.client_faults += 1;
         say!("no memory for what a client sends");
-        self.end_front(key, ClientClose::NoMemory);
+        self.finish_front(key, ClientClose::NoMemory);
+    }
+
+    /// Nothing more is read from a client: what it has asked whole is answered, and then its connection is closed.
+    fn finish_front(&mut self, key: u64, reason: ClientClose) {
+        let Some((_, conn)) = self.fronts.get_mut(&key) else { return };
+        self.coming -= conn.holding();
+        conn.finish(reason);
+        self.inbox.push(Input::Unreadable { conn: key });
+        self.dirty.insert(Source::Front(key));
     }
 
     /// Writes what a client is owed; why its connection is over, if it is.
@@ -215,7 +257,7 @@
         over
     }
 
-    /// A client's connection is over: what is owed to others on it is written as far as that goes at once.
+    /// A client's connection is over: what is owed on it is written as far as that goes at once.
     pub(super) fn end_front(&mut self, key: u64, reason: ClientClose) {
         let peer_is_there = match reason {
             ClientClose::PeerClosed | ClientClose::PeerReset | ClientClose::Panic => false,
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -41,6 +41,7 @@
         Input::Health { .. }
         | Input::Flushed { .. }
         | Input::Closed { .. }
+        | Input::Unreadable { .. }
         | Input::Probed { .. }
         | Input::Notice { .. }
         | Input::Due
--- a/src/runtime/lingering.rs
+++ b/src/runtime/lingering.rs
@@ -13,7 +13,8 @@
 const LINGER_MS: Millis = 500.0;
 /// Bytes that are read away, at most: a client may send without end.
 const LINGER_BYTES: usize = 1 << 20;
-/// Part of the descriptors that may linger; beyond it the one that has lingered longest goes.
+/// Part of the descriptors that may linger beside as many clients as there may be; beyond it the one that has lingered
+/// longest goes. Places that no client has may be taken, too.
 const LINGER_SHARE: f64 = 0.05;
 
 /// A connection whose write half is closed.
@@ -26,12 +27,6 @@
 impl Runtime {
     /// Closes a socket of which nothing more is wanted. It stays in the loop under its source.
     pub(super) fn linger(&mut self, source: Source, sock: Sock) {
-        let most = ((self.sockets as f64 * LINGER_SHARE) as usize).max(1);
-        while self.lingering.len() >= most {
-            let oldest = self.lingering.iter().min_by(|(_, a), (_, b)| a.until.total_cmp(&b.until));
-            let Some(oldest) = oldest.map(|(source, _)| *source) else { break };
-            self.drop_lingering(oldest);
-        }
         if sock.stream.shutdown(Shutdown::Write).is_err() {
             self.handle.remove(sock.token); // Its peer has gone already.
             return;
@@ -39,6 +34,18 @@
         let until = self.now() + LINGER_MS;
         self.lingering.insert(source, Lingering { sock, until, left: LINGER_BYTES });
         self.dirty.insert(source);
+        self.bound_lingering();
+    }
+
+    /// Ends those that have lingered longest where there are too many.
+    pub(super) fn bound_lingering(&mut self) {
+        let reserved = ((self.sockets as f64 * LINGER_SHARE) as usize).max(1);
+        let most = reserved + self.reducer.most_clients().saturating_sub(self.fronts.len());
+        while self.lingering.len() > most {
+            let oldest = self.lingering.iter().min_by(|(_, a), (_, b)| a.until.total_cmp(&b.until));
+            let Some(oldest) = oldest.map(|(source, _)| *source) else { break };
+            self.drop_lingering(oldest);
+        }
     }
 
     /// Reads away what a lingering connection has brought; true if this source lingers.
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -25,6 +25,7 @@
 use crate::say;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Readiness, RegistrationToken};
+use clients::Accepted;
 pub use plugins::read_program;
 use socket::{listen, register, Sock};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -113,6 +114,8 @@
     signals: Vec<Signal>,
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     accept_from: Option<Millis>,
+    /// It is to be closed, once nobody waits in its queue.
+    stops_listening: bool,
     sweep_at: Millis,
     fronts: BTreeMap<u64, (Sock, Conn)>,
     next_front: u64,
@@ -204,6 +207,7 @@
         signals: Vec::new(),
         listener: Some((listener, token)),
         accept_from: None,
+        stops_listening: false,
         sweep_at: SWEEP_MS,
         fronts: BTreeMap::new(),
         next_front: 0,
@@ -268,20 +272,24 @@
     }
 
     fn over(&self) -> bool {
-        let closed = || self.reducer.open() == 0 && self.fronts.is_empty() && self.lingering.is_empty();
+        let closed = || {
+            let all = self.fronts.is_empty() && self.lingering.is_empty() && self.listener.is_none();
+            all && self.reducer.open() == 0
+        };
         self.exit_by.is_some_and(|by| self.now() >= by || closed())
     }
 
-    /// At the end, once nothing is owed: connections at rest are closed, whatever comes on them. One on which a request
-    /// is half there is waited for: its client could write the last byte before it hears of the close. It is answered
-    /// as it is whole, or as it is late.
+    /// At the end, once nothing is owed: connections at rest are closed, each once what has come on it is read. One on
+    /// which a request is half there is waited for: its client could write the last byte before it hears of the close.
+    /// It is answered as it is whole, or as it is late.
     fn close_all(&mut self) {
         if self.exit_by.is_none() || self.reducer.open() > 0 {
             return;
         }
         let resting = self.fronts.iter().filter(|(_, (_, conn))| conn.at_rest());
         let resting: Vec<u64> = resting.map(|(key, _)| *key).collect();
-        resting.into_iter().for_each(|key| self.close_front(key, ClientClose::Draining));
+        resting.into_iter().for_each(|key| self.rest_front(key, ClientClose::Draining));
+        self.work();
     }
 
     /// When the loop is to wake up at the latest.
@@ -375,7 +383,7 @@
             Source::Dial(key) => self.serve_dial(key),
             Source::Front(key) => self.serve_front(key),
             Source::Board => self.serve_board(),
-            Source::Listener => self.accept(),
+            Source::Listener => drop(self.accept()),
             Source::Caller(key) => self.serve_caller(key),
             Source::Callers => self.accept_callers(),
             Source::Fleet => self.serve_fleet(),
@@ -454,16 +462,10 @@
             }
             Effect::Log(text) => say!("{text}"),
             Effect::StopListening => {
-                // What the kernel has let in for this process is nobody else's: it is taken before the door closes.
-                while {
-                    self.dirty.remove(&Source::Listener);
-                    self.accept();
-                    self.dirty.contains(&Source::Listener) // There may be more than one turn takes.
-                } {}
-                if let Some((_, token)) = self.listener.take() {
-                    self.handle.remove(token);
-                }
-                // Nor is what has come by now: it is read, and taken, before the first that comes too late.
+                self.stops_listening = true;
+                while self.accept() == Accepted::Some {} // There may be more than one turn takes.
+
+                // What has come by now is not another's either: it is read, and taken, before the first that comes too late.
                 let fronts: Vec<u64> = self.fronts.keys().copied().collect();
                 for key in fronts {
                     if let Some(over) = self.read_unheard(key) {
