Have system calls fail under the daemon by a preloaded library, and test what that costs

Linux documents that calls fail for a moment; no test of ours caused it.

Lines at fault: back/dials.rs dial_failed with `None` ends the race as if the path had failed; back/mod.rs expired then has NotUp, runtime/machines.rs link_down reports Lost(NotConnected), the module counts a death. Book::untried sets trials_at to 0, so that trials spin. runtime/socket.rs `once` takes ENOBUFS and ENOMEM for a broken connection: the client's connection is closed with open requests on it, and its client sends them again.

Two tests are known red: one on real sockets with the descriptors bounded while twelve requests wait, one with 5% of reads and writes failing or short.

--- a/crates/frostturn-lab/src/daemon.rs
+++ b/crates/frostturn-lab/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The real daemon as a process: this laboratory's own executable begun anew, or another build's by its path.
 
+use crate::shims::VARIABLE;
 use frostturn::fastcgi::{self, kind, Decoder};
 use frostturn::ops::control::{self, Answer};
 use frostturn::ops::Call;
@@ -104,7 +105,11 @@
         if let Some(operator) = how.operator {
             command.env("FROSTTURN_OPERATOR", operator);
         }
-        command.envs(how.environment.iter().map(|(name, value)| (name, value)));
+        for (name, value) in how.environment {
+            // Each process draws its own faults.
+            let drawn = if name == VARIABLE { format!("{value} seed={}", how.seed) } else { value.clone() };
+            command.env(name, drawn);
+        }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(file).spawn();
         let child = child.map_err(|e| format!("the daemon can't be started: {e}"))?;
         Ok(Self { child, address: ([127, 0, 0, 1], 0).into(), ops: None, log })
--- a/crates/frostturn-lab/src/lib.rs
+++ b/crates/frostturn-lab/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod report;
 pub mod rig;
 pub mod scenarios;
+pub mod shims;
 pub mod site;
 pub mod world;
--- a/crates/frostturn-lab/src/main.rs
+++ b/crates/frostturn-lab/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use frostturn_lab::scenarios::{Options, Scenario, ALL};
+use frostturn_lab::shims::{ClockStep, Shims};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -65,6 +66,16 @@
     /// Keep the daemons' files in this folder, with each event of each request in their logs
     #[arg(long, value_name = "DIR")]
     logs: Option<PathBuf>,
+    /// A share of the daemons' system calls fails, of all or of those named: socket, connect, setsockopt, epoll_ctl,
+    /// accept, read, write, sever
+    #[arg(long, value_name = "SHARE[:CALLS]")]
+    syscalls: Option<String>,
+    /// A share of the daemons' writes, syncs, renames and creations of files fails
+    #[arg(long, value_name = "SHARE")]
+    disk: Option<f64>,
+    /// The daemons' wall clock steps by so many milliseconds, so many seconds after the start; may be given again
+    #[arg(long, value_name = "MS@SECONDS", allow_hyphen_values = true)]
+    clock_step: Vec<ClockStep>,
     /// Seconds of load
     #[arg(long)]
     seconds: Option<f64>,
@@ -91,13 +102,16 @@
         eprintln!("no scenario {name:?}; there are {}", known.join(", "));
         return ExitCode::from(2);
     };
-    let Flags { seed, json, out, daemon, first_only, plain, calm, replay, schedule, logs, seconds, rate } =
-        flags.clone();
+    let flags = flags.clone();
+    let Flags {
+        seed, json, out, daemon, first_only, plain, calm, replay, schedule, logs, seconds, rate, ..
+    } = flags;
+    let shims = Shims { syscalls: flags.syscalls, disk: flags.disk, clock_steps: flags.clock_step };
     if schedule {
         print!("{}", frostturn_lab::scenarios::fleet::schedule(seed, seconds).print());
         return ExitCode::SUCCESS;
     }
-    match run(&Options { seed, daemon, first_only, plain, calm, replay, seconds, rate, out, logs }) {
+    match run(&Options { seed, daemon, first_only, plain, calm, replay, seconds, rate, out, logs, shims }) {
         Ok(report) => {
             report.print(json);
             if report.good() {
--- a/crates/frostturn-lab/src/rig.rs
+++ b/crates/frostturn-lab/src/rig.rs
@@ -53,9 +53,10 @@
         times: &str,
         program: Option<PathBuf>,
         seed: u64,
+        setup: &Setup,
     ) -> Result<Self, String> {
         let io = |e: std::io::Error| format!("the fleet's links: {e}");
-        let site = Site::start(boxes, &Setup::default())?;
+        let site = Site::start(boxes, setup)?;
         // Ports that are free: held until all are known, so that no two are alike, and on an address where nobody else
         // binds, so that they stay free until the routers run, and while one of them doesn't.
         let held: Vec<UdpSocket> = (0..routers)
--- a/crates/frostturn-lab/src/scenarios/fleet.rs
+++ b/crates/frostturn-lab/src/scenarios/fleet.rs
@@ -39,7 +39,7 @@
 
 impl Side {
     fn start(options: &Options, fleet: bool) -> Result<Self, String> {
-        let mut rig = Rig::new(BOXES, ROUTERS, "", options.daemon.clone(), options.seed)?;
+        let mut rig = Rig::new(BOXES, ROUTERS, "", options.daemon.clone(), options.seed, &options.setup())?;
         rig.start_all(fleet)?;
         Ok(Self { rig, loads: Vec::new() })
     }
--- a/crates/frostturn-lab/src/scenarios/mod.rs
+++ b/crates/frostturn-lab/src/scenarios/mod.rs
@@ -10,6 +10,7 @@
 pub mod up;
 
 use crate::report::Report;
+use crate::shims::Shims;
 use crate::site::Setup;
 use std::path::PathBuf;
 
@@ -36,12 +37,14 @@
     pub out: Option<PathBuf>,
     /// Where the daemons' files are kept, each event logged.
     pub logs: Option<PathBuf>,
+    /// What fails under the daemons.
+    pub shims: Shims,
 }
 
 impl Options {
     /// How the site is set up.
     pub fn setup(&self) -> Setup {
-        Setup { first_only: self.first_only, logs: self.logs.clone(), environment: Vec::new() }
+        Setup { first_only: self.first_only, logs: self.logs.clone(), shims: self.shims.clone() }
     }
 }
 
--- a/crates/frostturn-lab/src/site.rs
+++ b/crates/frostturn-lab/src/site.rs
@@ -6,6 +6,7 @@
 use crate::daemon::{Daemon, Start};
 use crate::machines::{Machine, Place, LANES};
 use crate::report::Report;
+use crate::shims::Shims;
 use crate::world::{unix_ms, Seen, World};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
@@ -29,8 +30,8 @@
     pub first_only: bool,
     /// Keep the daemons' files here, and have each event of each request logged.
     pub logs: Option<PathBuf>,
-    /// Further variables of the daemons' environment.
-    pub environment: Vec<(String, String)>,
+    /// What fails under the daemons.
+    pub shims: Shims,
 }
 
 /// A site that runs.
@@ -82,7 +83,7 @@
             boxes.iter().map(|one| entry(&one.name, one.address(), one.kind, Status::Active, 0.0)).collect();
         let pool = json!({ "pool": { "index": 1, "snapshot": true, "endpoints": listed } });
         let board = Board::start(&world, pool).map_err(io)?;
-        let mut environment = setup.environment.clone();
+        let mut environment = setup.shims.environment(&dir).map_err(io)?;
         if setup.logs.is_some() {
             environment.push(("FROSTTURN_LOG_LEVEL".to_owned(), "debug".to_owned()));
         }
--- a/crates/frostturn-lab/tests/fleet.rs
+++ b/crates/frostturn-lab/tests/fleet.rs
@@ -6,6 +6,7 @@
 use frostturn_lab::fleet::check::{Said, Word};
 use frostturn_lab::relay::Link;
 use frostturn_lab::rig::Rig;
+use frostturn_lab::site::Setup;
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use State::{Alive, Gone, Left, Suspect};
@@ -28,7 +29,7 @@
 
 fn rig(routers: usize, times: &str) -> Rig {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_frostturn-lab"));
-    let mut rig = Rig::new(2, routers, times, Some(program), 7).expect("a rig");
+    let mut rig = Rig::new(2, routers, times, Some(program), 7, &Setup::default()).expect("a rig");
     rig.start_all(true).expect("all start");
     whole(&rig, &all(&rig));
     rig
@@ -62,7 +63,7 @@
 #[test]
 fn what_others_bind_meanwhile_takes_no_router_its_socket() {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_frostturn-lab"));
-    let mut rig = Rig::new(2, 3, "", Some(program), 7).expect("a rig");
+    let mut rig = Rig::new(2, 3, "", Some(program), 7, &Setup::default()).expect("a rig");
     // As another test does that binds port 0 between the drawing of a router's port and its start. One of these may be
     // another's already, which is the same.
     let others: Vec<_> =
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -154,6 +154,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
 
+    /// Bounds the files that it may hold open.
+    pub fn bound_descriptors(&self, most: u64) {
+        let pid = rustix::process::Pid::from_raw(self.child.id() as i32);
+        let maximum = rustix::process::getrlimit(rustix::process::Resource::Nofile).maximum;
+        let limit = rustix::process::Rlimit { current: Some(most), maximum };
+        rustix::process::prlimit(pid, rustix::process::Resource::Nofile, limit).expect("set");
+    }
+
     /// Kills it at once.
     pub fn kill(mut self) {
         self.child.kill().and_then(|()| self.child.wait()).expect("killed");
@@ -259,13 +267,7 @@
 pub fn take(ends: &[(&'static str, Endpoint)]) -> (usize, Asked) {
     let mut came = None;
     until("a request", || {
-        for (at, (_, end)) in ends.iter().enumerate() {
-            for event in end.so_far() {
-                if let Event::Frame(conn, parts) = event {
-                    came = Some((at, Asked { conn, id: parts[1].clone(), fields: parts[2].clone() }));
-                }
-            }
-        }
+        came = ends.iter().enumerate().find_map(|(at, (_, end))| Some((at, end.try_asked()?)));
         came.is_some()
     });
     came.expect("one came")
@@ -348,6 +350,16 @@
         }
     }
 
+    /// The next request, if one has come.
+    pub fn try_asked(&self) -> Option<Asked> {
+        self.events.try_iter().find_map(|event| match event {
+            Event::Frame(conn, parts) if parts[0] == "REQ" => {
+                Some(Asked { conn, id: parts[1].clone(), fields: parts[2].clone() })
+            }
+            Event::Up(_) | Event::Frame(..) | Event::Down(..) => None,
+        })
+    }
+
     /// All that has come by now.
     pub fn so_far(&self) -> Vec<Event> {
         self.events.try_iter().collect()
