Wait out a shortage of this machine's own, and hold it against no endpoint or client

Each place that makes a system call drew its own conclusion from an error, most of them that the peer had failed.

Change: src/errno.rs alone reads errors: interrupted, would block, shortage, unreachable, the peer's. A dial that can't be begun is put back into its race and tried again after 10 to 40 ms, within the dial's time (Race::postpone); if that passes, its attempts end as not sent (EndpointClose::NoRoom), not as a failed connection. No route is waited for where there is no other way, else it is the path's. A connect that EINTR interrupts goes on; EAGAIN of TCP is a want of ports, not a connect under way. A read or write for which buffers are short, a socket that epoll has no room for, an accept that fails: tried again after 5 ms (Runtime::starve), the connection stays. Only EMFILE sheds a client. A trial of a path that can't be begun is looked at again after 50 ms, not at once. A SIGHUP whose files can't be read just now is carried out as soon as they can; the start waits 3 s for what may pass.

--- a/src/addresses/book.rs
+++ b/src/addresses/book.rs
@@ -34,6 +34,8 @@
     Broken,
     /// Somebody else answers there.
     WrongName,
+    /// No route leads there.
+    Unreachable,
 }
 
 impl fmt::Display for Failure {
@@ -45,6 +47,7 @@
             Self::Mute => "up and mute",
             Self::Broken => "broken",
             Self::WrongName => "somebody else answers there",
+            Self::Unreachable => "no route leads there",
         })
     }
 }
@@ -396,10 +399,10 @@
     }
 
     /// A trial could not be begun, or ended without a word about its path.
-    pub fn untried(&mut self, member: &CacheId, endpoint: &Endpoint) {
+    pub fn untried(&mut self, now: Millis, member: &CacheId, endpoint: &Endpoint) {
         if let Some(path) = self.path(member, endpoint) {
             path.tried = false;
-            self.trials_at = 0.0;
+            self.trials_at = self.trials_at.min(now + LOOK_AGAIN_MS);
         }
     }
 
--- a/src/addresses/race.rs
+++ b/src/addresses/race.rs
@@ -51,13 +51,31 @@
     until: Millis,
     /// It waits for a free place.
     blocked: bool,
+    /// Nothing is dialled before then: the latest dial could not even be begun.
+    held_until: Millis,
+    /// Dials in a row that could not be begun, and whether this machine lacked something for the latest.
+    postponed: u32,
+    no_room: bool,
 }
 
+/// First and longest pause after a dial that could not be begun.
+const POSTPONE_MS: [Millis; 2] = [10.0, 40.0];
+
 impl Race {
     /// A race over `candidates` in their order, `delay` apart, over at `until`.
     pub fn new(now: Millis, candidates: Vec<Endpoint>, delay: Millis, until: Millis) -> Self {
         let waiting = candidates.into();
-        Self { waiting, open: Vec::new(), next_at: now, delay, until, blocked: false }
+        Self {
+            waiting,
+            open: Vec::new(),
+            next_at: now,
+            delay,
+            until,
+            blocked: false,
+            held_until: now,
+            postponed: 0,
+            no_room: false,
+        }
     }
 
     /// Starts what is due. `free` is how many more dials may be open now; where none may and this race has one
@@ -65,6 +83,9 @@
     pub fn poll(&mut self, now: Millis, mut free: usize, next: &mut DialKey) -> Vec<Step> {
         let mut steps = Vec::new();
         self.blocked = false;
+        if now < self.held_until {
+            return steps;
+        }
         while now < self.until && !self.waiting.is_empty() && (now >= self.next_at || self.open.is_empty()) {
             if free == 0 {
                 if self.open.is_empty() {
@@ -78,6 +99,7 @@
             let Some(endpoint) = self.waiting.pop_front() else { break };
             *next += 1;
             free -= 1;
+            self.no_room = false;
             self.open.push(Dial { key: *next, endpoint: endpoint.clone(), since: now });
             self.next_at = now + self.delay;
             steps.push(Step::Start(*next, endpoint));
@@ -92,6 +114,26 @@
         Some(self.open.remove(at).endpoint)
     }
 
+    /// A dial could not be begun: it is tried again after a short pause. `no_room`: as this machine lacked something.
+    pub fn postpone(&mut self, now: Millis, key: DialKey, no_room: bool) {
+        let Some(at) = self.open.iter().position(|dial| dial.key == key) else { return };
+        self.waiting.push_front(self.open.remove(at).endpoint);
+        let [first, longest] = POSTPONE_MS;
+        self.held_until = now + (first * f64::from(1 << self.postponed.min(8))).min(longest);
+        self.postponed += 1;
+        self.no_room = no_room;
+    }
+
+    /// Whether there is another way to be tried, or under way.
+    pub fn has_others(&self) -> bool {
+        self.open.len() + self.waiting.len() > 1
+    }
+
+    /// Whether no dial is under way since this machine lacks something.
+    pub fn lacks_room(&self) -> bool {
+        self.no_room && self.open.is_empty()
+    }
+
     /// A dial is up: the race is over.
     pub fn won(self, now: Millis, key: DialKey) -> Result<Won, Self> {
         let Some(winner) = self.open.iter().find(|dial| dial.key == key).cloned() else { return Err(self) };
@@ -129,7 +171,7 @@
         } else if self.waiting.is_empty() || self.blocked {
             self.until
         } else {
-            self.next_at.min(self.until)
+            self.next_at.max(self.held_until).min(self.until)
         }
     }
 }
--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -1,7 +1,7 @@
 //! The ways of connections: races that are begun and go on, paths that fall mute, and what is left alone for it.
 
 use super::link::{Link, Open, What};
-use super::{Dialling, Frame, Leave, LinkKey, Links, FURTHER, GREET_MS, MAX_MOVES};
+use super::{DialEnd, Dialling, Frame, Leave, LinkKey, Links, FURTHER, GREET_MS, MAX_MOVES};
 use crate::addresses::{Book, DialKey, Endpoint, Failure, Race, Step};
 use crate::api::{CacheId, Millis};
 use crate::reducer::Progress;
@@ -16,7 +16,7 @@
             if (self.links.len() as f64) < FURTHER * self.most as f64 {
                 self.open(now, &member, vec![endpoint], true);
             } else {
-                self.book.untried(&member, &endpoint);
+                self.book.untried(now, &member, &endpoint);
             }
         }
         if self.racing.is_empty() {
@@ -68,24 +68,24 @@
         todo
     }
 
-    /// A dial has failed; `None`: for a reason of this side's, which says nothing about the path. To be
-    /// followed by [`Links::poll`].
-    pub fn dial_failed(
-        &mut self,
-        now: Millis,
-        key: LinkKey,
-        dial: DialKey,
-        why: Option<Failure>,
-    ) -> Option<Leave> {
+    /// A dial has ended without a connection. To be followed by [`Links::poll`].
+    pub fn dial_failed(&mut self, now: Millis, key: LinkKey, dial: DialKey, how: DialEnd) -> Option<Leave> {
         let link = self.links.get_mut(&key)?;
-        let endpoint = link.race.as_mut()?.failed(now, dial)?;
-        match why {
-            Some(why) => left(&mut self.book, now, &link.member, &endpoint, why),
-            None => {
-                self.book.untried(&link.member, &endpoint);
-                None
+        let race = link.race.as_mut()?;
+        let why = match how {
+            DialEnd::NoRoom => {
+                race.postpone(now, dial, true);
+                return None;
             }
-        }
+            DialEnd::Unreachable if !race.has_others() => {
+                race.postpone(now, dial, false); // The route may be back within the time that a dial has.
+                return None;
+            }
+            DialEnd::Unreachable => Failure::Unreachable,
+            DialEnd::Failed(why) => why,
+        };
+        let endpoint = race.failed(now, dial)?;
+        left(&mut self.book, now, &link.member, &endpoint, why)
     }
 
     /// A dial is up: its connection goes on over it. What is to be closed and left for that; `None`: nobody
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -88,6 +88,17 @@
     NoPath,
 }
 
+/// How a dial ended without a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialEnd {
+    /// The path is at fault.
+    Failed(Failure),
+    /// No route leads there just now.
+    Unreachable,
+    /// This machine lacked something for it: that says nothing about the path.
+    NoRoom,
+}
+
 /// What is to be done about dials.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Dialling {
@@ -418,7 +429,7 @@
             }
         }
         if let Some(tried) = &link.trial {
-            self.book.untried(&link.member, tried);
+            self.book.untried(now, &link.member, tried);
         }
         // Another connection that is up may be as dead, unless it goes another way.
         let other_way =
@@ -487,7 +498,12 @@
             let passed = link.due(self.idle_ms).is_some_and(|at| at <= now);
             match link.up {
                 None if link.retired && empty => Some(EndpointClose::NotWanted),
-                None => link.race.as_ref().is_some_and(|race| race.over(now)).then_some(EndpointClose::NotUp),
+                None => {
+                    link.race.as_ref().filter(|race| race.over(now)).map(|race| match race.lacks_room() {
+                        true => EndpointClose::NoRoom,
+                        false => EndpointClose::NotUp,
+                    })
+                }
                 Some(_) if link.greeting.is_some() => passed.then_some(EndpointClose::NoGreeting),
                 Some(_) if link.decoder.midway() => passed.then_some(EndpointClose::Stalled),
                 Some(_) => (passed || (empty && link.mute(now))).then_some(EndpointClose::Idle),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -187,7 +187,7 @@
     for path in files {
         let shown = path.display();
         let faults = match operator::read_bytes(path) {
-            Err(why) => vec![why],
+            Err(e) => vec![format!("{shown}: {e}")],
             Ok(bytes) if bytes.trim_ascii_start().starts_with(b"{") => {
                 Config::read(bytes, None, None).err().into_iter().collect()
             }
--- a/src/cli_plugin.rs
+++ b/src/cli_plugin.rs
@@ -99,7 +99,7 @@
 }
 
 fn replay(mut loaded: Loaded, views: &Path) -> Result<(), String> {
-    let bytes = crate::operator::read_bytes(views)?;
+    let bytes = crate::operator::read_bytes(views).map_err(|e| format!("{}: {e}", views.display()))?;
     let text = String::from_utf8(bytes).map_err(|_| format!("{}: not text", views.display()))?;
     let fuel = loaded.spec.fuel;
     for (at, line) in text.lines().filter(|line| !line.trim().is_empty()).enumerate() {
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,8 @@
 
 use crate::api::*;
 use crate::board::{self, Notice};
-use crate::operator::Operator;
+use crate::errno;
+use crate::operator::{self, Operator};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::HashMap;
@@ -79,19 +80,41 @@
     pub operator: Option<PathBuf>,
 }
 
+/// Why the files can't be taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadFault {
+    /// What is wrong.
+    pub words: String,
+    /// They could not be read in a way that may pass: nothing is known against them.
+    pub may_pass: bool,
+}
+
+impl LoadFault {
+    fn unread(path: &std::path::Path, error: &std::io::Error) -> Self {
+        Self { words: format!("{}: {error}", path.display()), may_pass: errno::may_pass(error) }
+    }
+}
+
+impl From<Fault> for LoadFault {
+    fn from(words: Fault) -> Self {
+        Self { words, may_pass: false }
+    }
+}
+
 impl Sources {
     /// Reads both, or neither.
-    pub fn load(&self) -> Result<(Config, Operator), Fault> {
-        let path = self.config.as_ref().ok_or("PROXY_CONFIG isn't set")?;
+    pub fn load(&self) -> Result<(Config, Operator), LoadFault> {
+        let path = self.config.as_ref().ok_or_else(|| "PROXY_CONFIG isn't set".to_owned())?;
         let shown = path.display();
-        let bytes = std::fs::read(path).map_err(|e| format!("{shown}: {e}"))?;
+        let bytes = std::fs::read(path).map_err(|e| LoadFault::unread(path, &e))?;
         let config = Config::read(bytes, self.name.clone(), self.listen.clone());
         let mut config = config.map_err(|e| format!("{shown}: {e}"))?;
         if let Some(ops) = &self.ops {
             config.ops = Some(ops.parse().map_err(|_| format!("ops is not an address: {ops}"))?);
         }
-        let operator = self.operator.as_deref().map_or(Ok(Operator::default()), Operator::load)?;
-        Ok((config, operator))
+        let Some(path) = self.operator.as_deref() else { return Ok((config, Operator::default())) };
+        let bytes = operator::read_bytes(path).map_err(|e| LoadFault::unread(path, &e))?;
+        Ok((config, Operator::read_named(&bytes, path)?))
     }
 }
 
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -118,6 +118,8 @@
     dials,
     /// Of these, those refused or not up in time.
     dials_failed,
+    /// Times that this machine lacked something for a socket: descriptors, memory, buffers.
+    shortages,
     /// Panics stopped at a connection or an event.
     panics,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 mod cli_plugin;
 pub mod config;
 pub mod counters;
+mod errno;
 pub mod fastcgi;
 pub mod fleet;
 pub mod front;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -71,9 +71,14 @@
 
     /// Reads the file at `path`; an error names the file, and each fault with its place.
     pub fn load(path: &Path) -> Result<Self, String> {
-        let bytes = read_bytes(path)?;
+        let bytes = read_bytes(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Self::read_named(&bytes, path)
+    }
+
+    /// Reads a file's bytes; faults are told with its name.
+    pub fn read_named(bytes: &[u8], path: &Path) -> Result<Self, String> {
         let place = |fault: &Fault| format!("{}:{fault}", path.display());
-        Self::read(&bytes).map_err(|faults| faults.0.iter().map(place).collect::<Vec<String>>().join("; "))
+        Self::read(bytes).map_err(|faults| faults.0.iter().map(place).collect::<Vec<String>>().join("; "))
     }
 }
 
@@ -96,13 +101,11 @@
 }
 
 /// The bytes of a file of a bounded size.
-pub fn read_bytes(path: &Path) -> Result<Vec<u8>, String> {
-    let shown = path.display();
-    let file = std::fs::File::open(path).map_err(|e| format!("{shown}: {e}"))?;
+pub fn read_bytes(path: &Path) -> std::io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
-    file.take(MAX_FILE + 1).read_to_end(&mut bytes).map_err(|e| format!("{shown}: {e}"))?;
+    std::fs::File::open(path)?.take(MAX_FILE + 1).read_to_end(&mut bytes)?;
     if bytes.len() as u64 > MAX_FILE {
-        return Err(format!("{shown}: more than {MAX_FILE} bytes"));
+        return Err(std::io::Error::other(format!("more than {MAX_FILE} bytes")));
     }
     Ok(bytes)
 }
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -94,12 +94,12 @@
         Idle: "idle", "idle";
         /// It was not up in time.
         NotUp: "not_up", "not up in time";
+        /// This machine had no room for it in time: no descriptor, memory or port.
+        NoRoom: "no_room", "no room for a connection in time";
         /// The endpoint did not answer the greeting in time.
         NoGreeting: "no_greeting", "no greeting";
         /// Nobody waits for it any more, and it is not up.
         NotWanted: "not_wanted", "not wanted any more";
-        /// It could not be registered with the event loop.
-        NotRegistered: "not_registered", "cannot be registered";
         /// Another endpoint than the one that was meant answers there.
         WrongName: "wrong_name", "another machine answers there";
         /// Its endpoint has started anew since it was dialled.
--- a/src/runtime/board.rs
+++ b/src/runtime/board.rs
@@ -1,10 +1,9 @@
 //! The notice board's socket: one poll after the other. What they bring is [`crate::board`]'s.
 
-use super::socket::{dial, register, Io, Sock};
+use super::socket::{dial, Io};
 use super::{unix_ms, Runtime, Source};
 use crate::reducer::Input;
 use crate::say;
-use calloop::Interest;
 use std::rc::Rc;
 
 impl Runtime {
@@ -21,14 +20,12 @@
         if let Some((_, out)) = &mut self.board {
             *out = bytes;
         } else {
-            let dialled = dial(&self.board_at.into()).and_then(|stream| {
-                let stream = Rc::new(stream);
-                let token = register(&self.handle, stream.clone(), Source::Board, Interest::BOTH)?;
-                Ok(Sock { stream, token, readable: false, writable: false })
-            });
-            match dialled {
-                Ok(sock) => self.board = Some((sock, bytes)),
-                Err(_) => return self.board_failed("cannot be dialled"),
+            match dial(&self.board_at.into()) {
+                Ok(stream) => {
+                    let sock = self.watch(Rc::new(stream), Source::Board, false);
+                    self.board = Some((sock, bytes));
+                }
+                Err(e) => return self.board_failed(&format!("cannot be dialled: {e}")),
             }
         }
         self.dirty.insert(Source::Board);
@@ -36,20 +33,18 @@
 
     pub(super) fn serve_board(&mut self) {
         let now = self.now();
-        let Some((sock, out)) = &mut self.board else { return };
-        while !out.is_empty() && sock.writable {
-            match sock.write(out) {
-                Ok(bytes) => drop(out.drain(..bytes)),
-                Err(Io::Closed | Io::Broken) => return self.board_failed("broken"),
-                Err(Io::Blocked) => break,
-            }
+        match self.write_board() {
+            Ok(()) | Err(Io::Blocked) => {}
+            Err(Io::Starved) => self.starve(Source::Board),
+            Err(Io::Closed | Io::Broken) => return self.board_failed("broken"),
         }
-        while sock.readable {
+        while let Some((sock, _)) = self.board.as_mut().filter(|(sock, _)| sock.readable) {
             let (bytes, eof) = match sock.read(&mut self.buffer) {
                 Ok(bytes) => (bytes, false),
                 Err(Io::Closed) => (0, true),
                 Err(Io::Broken) => return self.board_failed("broken"),
                 Err(Io::Blocked) => return,
+                Err(Io::Starved) => return self.starve(Source::Board),
             };
             let waiting = self.watch.waiting();
             let fed = if waiting { self.watch.feed(now, &self.buffer[..bytes], eof) } else { Ok(None) };
@@ -81,9 +76,19 @@
         }
     }
 
+    /// Writes what there is of a poll.
+    fn write_board(&mut self) -> Result<(), Io> {
+        let Some((sock, out)) = &mut self.board else { return Ok(()) };
+        while !out.is_empty() && sock.writable {
+            let bytes = sock.write(out)?;
+            out.drain(..bytes);
+        }
+        Ok(())
+    }
+
     pub(super) fn drop_board(&mut self) {
         if let Some((sock, _)) = self.board.take() {
-            self.handle.remove(sock.token);
+            self.drop_sock(&sock);
         }
     }
 
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -1,15 +1,15 @@
 //! Clients' sockets: accepted, read, written, shed and closed. What they mean is [`front`]'s.
 
-use super::socket::{register, Io, Sock};
+use super::socket::{Io, Sock};
 use super::{Runtime, Source};
 use crate::api::Millis;
+use crate::errno::{self, Verdict};
 use crate::front::{self, Conn, Standing};
 use crate::reasons::{ClientClose, Reason as _};
 use crate::reducer::{Client, Input};
 use crate::{say, trace_event};
-use calloop::Interest;
+use rustix::io::Errno;
 use socket2::Socket;
-use std::io::ErrorKind;
 use std::rc::Rc;
 
 /// Bytes read from one client before others have their turn. What it has sent is heard to its end where that can be: it
@@ -17,6 +17,8 @@
 const READ_AT_ONCE: usize = 512 * 1024;
 /// Connections accepted before others have their turn.
 const ACCEPT_AT_ONCE: usize = 64;
+/// Connections in one round that may have broken before they were accepted.
+const ACCEPT_FAULTS: usize = 8;
 /// How long to wait before accepting again when there is no descriptor for another connection.
 const ACCEPT_PAUSE_MS: Millis = 20.0;
 
@@ -56,37 +58,45 @@
     }
 
     fn accept_waiting(&mut self) -> Accepted {
+        let mut faults = 0;
         for _ in 0..ACCEPT_AT_ONCE {
             let Some((listener, _)) = &self.listener else { return Accepted::All };
             let listener = listener.clone();
             if self.fronts.len() >= self.reducer.most_clients() && !self.shed_front() {
                 return Accepted::Paused;
             }
-            let accepted = listener.accept().and_then(|(stream, peer)| {
-                stream.set_nonblocking(true)?;
-                stream.set_nodelay(true)?;
-                let stream = Rc::new(Socket::from(stream));
-                let source = Source::Front(self.next_front + 1);
-                let token = register(&self.handle, stream.clone(), source, Interest::BOTH)?;
-                Ok((Sock { stream, token, readable: true, writable: true }, peer))
-            });
-            match accepted {
-                Ok((sock, peer)) => {
+            match listener.accept() {
+                Ok((stream, peer)) => {
                     self.next_front += 1;
                     let client = self.next_front;
+                    // Without these it is slower, or held up for a moment; that is no reason to reset a client.
+                    let set = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+                    if let Err(e) = set {
+                        say!("an option of a client's connection can't be set: {e}");
+                    }
+                    let sock = self.watch(Rc::new(Socket::from(stream)), Source::Front(client), true);
                     let conn = Conn::new(self.now()).patient(self.reducer.longest_ms());
                     self.fronts.insert(client, (sock, conn));
                     trace_event!(self.now(), "client_accepted", client, peer = %peer);
                     self.dirty.insert(Source::Front(client));
                     self.bound_lingering();
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Accepted::All,
-                Err(e) if e.kind() == ErrorKind::ConnectionAborted || e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => {
-                    say!("cannot accept: {e}");
-                    self.shed_front();
-                    return Accepted::Paused;
-                }
+                Err(e) => match errno::verdict(&e) {
+                    Verdict::WouldBlock => return Accepted::All,
+                    Verdict::Interrupted => {}
+                    // What has become of a connection before it was accepted (accept(2)): the next one may be well.
+                    Verdict::Peer | Verdict::Unreachable => faults += 1,
+                    Verdict::Shortage => {
+                        say!("cannot accept: {e}");
+                        if Errno::from_io_error(&e) == Some(Errno::MFILE) {
+                            self.shed_front(); // Of this process's own descriptors one can be had.
+                        }
+                        return Accepted::Paused;
+                    }
+                },
+            }
+            if faults >= ACCEPT_FAULTS {
+                return Accepted::Paused;
             }
         }
         Accepted::Some
@@ -190,6 +200,10 @@
                 Err(Io::Closed) => return Some(ClientClose::PeerClosed),
                 Err(Io::Broken) => return Some(ClientClose::PeerReset),
                 Err(Io::Blocked) => return None,
+                Err(Io::Starved) => {
+                    self.starve(Source::Front(key));
+                    return None;
+                }
             };
             read += bytes;
             let before = conn.holding();
@@ -237,6 +251,7 @@
         let (mut written, now) = (0, self.now());
         let (sock, conn) = self.fronts.get_mut(&key)?;
         let deaf = !conn.listens();
+        let mut starved = false;
         let over = loop {
             let Some(bytes) = conn.output().filter(|_| sock.writable) else { break None };
             match sock.write(bytes) {
@@ -246,11 +261,19 @@
                 }
                 Err(Io::Closed | Io::Broken) => break Some(ClientClose::PeerReset),
                 Err(Io::Blocked) => break None,
+                Err(Io::Starved) => {
+                    starved = true;
+                    break None;
+                }
             }
         };
+        let again = starved;
         if deaf && conn.listens() && sock.readable {
             self.dirty.insert(Source::Front(key));
         }
+        if again {
+            self.starve(Source::Front(key));
+        }
         if written > 0 {
             self.inbox.push(Input::Flushed { conn: key, bytes: written });
         }
@@ -275,7 +298,7 @@
             return self.close_front(key, reason);
         }
         if let Some(sock) = self.forget_front(key, reason) {
-            self.handle.remove(sock.token);
+            self.drop_sock(&sock);
         }
     }
 
--- a/src/runtime/lingering.rs
+++ b/src/runtime/lingering.rs
@@ -28,7 +28,7 @@
     /// Closes a socket of which nothing more is wanted. It stays in the loop under its source.
     pub(super) fn linger(&mut self, source: Source, sock: Sock) {
         if sock.stream.shutdown(Shutdown::Write).is_err() {
-            self.handle.remove(sock.token); // Its peer has gone already.
+            self.drop_sock(&sock); // Its peer has gone already.
             return;
         }
         let until = self.now() + LINGER_MS;
@@ -55,6 +55,10 @@
             match sock.read(&mut self.buffer) {
                 Ok(bytes) if bytes < *left => *left -= bytes,
                 Err(Io::Blocked) => return true,
+                Err(Io::Starved) => {
+                    self.starve(source);
+                    return true;
+                }
                 Ok(_) | Err(Io::Closed | Io::Broken) => {
                     self.drop_lingering(source);
                     return true;
@@ -77,7 +81,7 @@
 
     fn drop_lingering(&mut self, source: Source) {
         if let Some(one) = self.lingering.remove(&source) {
-            self.handle.remove(one.sock.token);
+            self.drop_sock(&one.sock);
         }
     }
 }
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -1,22 +1,19 @@
 //! Machines' sockets: dialled, read and written. What is on which connection is [`back`]'s, and which way it goes
 //! [`crate::addresses`]'.
 
-use super::socket::{dial, register, Io, Sock};
+use super::socket::{dial, dial_end, Io};
 use super::{Runtime, Source};
 use crate::addresses::{DialKey, Endpoint, Failure};
 use crate::api::{CacheId, LoadReport, Outcome};
-use crate::back::{self, Dialling, Leave, LinkKey, Unsent};
+use crate::back::{self, DialEnd, Dialling, Leave, LinkKey, Unsent};
 use crate::reasons::{EndpointClose, Reason as _};
 use crate::reducer::{AttemptKey, Call, End, Input, Progress};
 use crate::{say, trace_event};
-use calloop::Interest;
 use std::io;
 use std::rc::Rc;
 
 /// Bytes read from one machine before others have their turn.
 const READ_AT_ONCE: usize = 512 * 1024;
-/// No descriptor, or no memory, for another socket: EMFILE, ENFILE, ENOMEM, ENOBUFS on Linux.
-const NO_ROOM: [i32; 4] = [24, 23, 12, 105];
 
 impl Runtime {
     pub(super) fn probe_failed(&mut self, member: crate::api::CacheId) {
@@ -65,37 +62,33 @@
 
     fn start_dial(&mut self, key: LinkKey, number: DialKey, endpoint: &Endpoint) {
         self.reducer.counters.dials += 1;
-        let dialled = dial(endpoint).and_then(|stream| {
-            let stream = Rc::new(stream);
-            let token = register(&self.handle, stream.clone(), Source::Dial(number), Interest::BOTH)?;
-            Ok(Sock { stream, token, readable: false, writable: false })
-        });
-        match dialled {
-            Ok(sock) => drop(self.dials.insert(number, (key, endpoint.clone(), sock))),
-            Err(e) => self.dial_over(key, number, endpoint, "cannot be dialled", blame(&e)),
+        match dial(endpoint) {
+            Ok(stream) => {
+                let sock = self.watch(Rc::new(stream), Source::Dial(number), false);
+                self.dials.insert(number, (key, endpoint.clone(), sock));
+            }
+            Err(e) => self.dial_over(key, number, endpoint, &e),
         }
     }
 
     pub(super) fn close_dial(&mut self, number: DialKey) {
         if let Some((.., sock)) = self.dials.remove(&number) {
-            self.handle.remove(sock.token);
+            self.drop_sock(&sock);
         }
     }
 
     /// A dial has failed: the race goes on, or the connection never comes up.
-    fn dial_over(
-        &mut self,
-        key: LinkKey,
-        number: DialKey,
-        endpoint: &Endpoint,
-        why: &'static str,
-        blame: Option<Failure>,
-    ) {
+    fn dial_over(&mut self, key: LinkKey, number: DialKey, endpoint: &Endpoint, error: &io::Error) {
         self.close_dial(number);
         self.reducer.counters.dials_failed += 1;
         let machine = self.links.member(key).map(CacheId::to_string).unwrap_or_default();
+        let end = dial_end(endpoint, error);
+        let why = match end {
+            DialEnd::Failed(failure) => failure.to_string(),
+            DialEnd::Unreachable | DialEnd::NoRoom => error.to_string(),
+        };
         say!({ machine, address = %endpoint, outcome = why } "no connection to {endpoint}: {why}");
-        if let Some(left) = self.links.dial_failed(self.now(), key, number, blame) {
+        if let Some(left) = self.links.dial_failed(self.now(), key, number, end) {
             say_left(&left);
         }
     }
@@ -108,25 +101,24 @@
             return;
         }
         match sock.stream.take_error() {
-            Ok(None) if sock.stream.peer_addr().is_ok() => {}
-            Ok(None) => return,
-            _ => {
-                self.dial_over(key, number, &endpoint, "refused", Some(Failure::Refused));
+            Ok(None) => match sock.stream.peer_addr() {
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
+                Err(_) => return self.starve(Source::Dial(number)),
+            },
+            Ok(Some(e)) => {
+                self.dial_over(key, number, &endpoint, &e);
                 return self.dial_due();
             }
+            Err(_) => return self.starve(Source::Dial(number)), // That it can't be asked says nothing of it.
         }
         let now = self.now();
         let Some(todo) = self.links.up(now, key, number) else { return self.close_dial(number) };
         if let Some((.., dialled)) = self.dials.remove(&number) {
-            self.handle.remove(dialled.token);
-            let stream = dialled.stream;
-            match register(&self.handle, stream.clone(), Source::Link(key), Interest::BOTH) {
-                Ok(token) => {
-                    self.link_socks.insert(key, Sock { stream, token, readable: true, writable: true });
-                    self.dirty.insert(Source::Link(key));
-                }
-                Err(_) => self.link_down(key, EndpointClose::NotRegistered),
-            }
+            self.drop_sock(&dialled);
+            let sock = self.watch(dialled.stream, Source::Link(key), true);
+            self.link_socks.insert(key, sock);
+            self.dirty.insert(Source::Link(key));
         }
         self.dialling(todo);
         self.dial_due();
@@ -173,6 +165,10 @@
                 Err(Io::Closed) => return Some(EndpointClose::PeerClosed),
                 Err(Io::Broken) => return Some(EndpointClose::Broken),
                 Err(Io::Blocked) => return None,
+                Err(Io::Starved) => {
+                    self.starve(Source::Link(key));
+                    return None;
+                }
             };
             read += bytes;
             let (heard, fault) = self.links.receive(now, key, &self.buffer[..bytes]);
@@ -224,6 +220,10 @@
                 }
                 Err(Io::Closed | Io::Broken) => return Some(EndpointClose::Broken),
                 Err(Io::Blocked) => break,
+                Err(Io::Starved) => {
+                    self.starve(Source::Link(key));
+                    break;
+                }
             }
         }
         None
@@ -242,10 +242,10 @@
                 | EndpointClose::NotUp
                 | EndpointClose::NoGreeting
                 | EndpointClose::NotWanted
-                | EndpointClose::NotRegistered
+                | EndpointClose::NoRoom
                 | EndpointClose::WrongName
                 | EndpointClose::Restarted
-                | EndpointClose::Panic => self.handle.remove(sock.token),
+                | EndpointClose::Panic => self.drop_sock(&sock),
             }
         }
         self.reducer.counters.reasons.endpoint_closes.add(why);
@@ -265,7 +265,7 @@
             | EndpointClose::Idle
             | EndpointClose::NotUp
             | EndpointClose::NotWanted
-            | EndpointClose::NotRegistered
+            | EndpointClose::NoRoom
             | EndpointClose::Restarted
             | EndpointClose::Panic => None,
         };
@@ -282,19 +282,14 @@
                 "connection to {endpoint} lost with {attempts} attempts: {why}");
         }
         for (attempt, progress) in ended.lost {
-            self.inbox.push(Input::Ended { attempt, end: End::Lost(progress) });
+            let end = if why == EndpointClose::NoRoom { End::NoRoom } else { End::Lost(progress) };
+            self.inbox.push(Input::Ended { attempt, end });
         }
         ended.probes.into_iter().for_each(|member| self.probe_failed(member));
         ended.moved.into_iter().for_each(|to| self.queued(to));
     }
 }
 
-/// What a dial that fails at once says about its path: nothing, where this side has no room.
-fn blame(e: &io::Error) -> Option<Failure> {
-    let no_room = e.raw_os_error().is_some_and(|code| NO_ROOM.contains(&code));
-    (!no_room).then_some(Failure::Refused)
-}
-
 fn say_left(left: &Leave) {
     let Leave { member, endpoint, why, pause_ms } = left;
     say!({ machine = %member, address = %endpoint, outcome = %why }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -16,6 +16,7 @@
 use crate::back::{LinkKey, Links};
 use crate::board::DiscoveryWatch;
 use crate::config::{Config, Sources};
+use crate::errno;
 use crate::front::Conn;
 use crate::operator::Operator;
 use crate::ops;
@@ -27,7 +28,8 @@
 use calloop::{EventLoop, Interest, LoopHandle, Readiness, RegistrationToken};
 use clients::Accepted;
 pub use plugins::read_program;
-use socket::{listen, register, Sock};
+use socket::{io_error, listen, register, Sock};
+use socket2::Socket;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
@@ -42,6 +44,12 @@
 const COMING_IN: f64 = 0.1;
 /// Time between looks for client connections whose client is silent or gone.
 const SWEEP_MS: Millis = 250.0;
+/// How long a start goes on trying where this machine lacks something.
+const START_PATIENCE: Duration = Duration::from_secs(3);
+/// The pause before a call is made again for which this machine lacked something.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
+/// The pause before files are read again on a SIGHUP that found them in trouble.
+const RELOAD_AGAIN_MS: Millis = 100.0;
 /// Longest sleep of the loop.
 const IDLE_MS: Millis = SWEEP_MS;
 
@@ -137,6 +145,11 @@
     board_at: SocketAddr,
     board: Option<(Sock, Vec<u8>)>,
     watch: DiscoveryWatch,
+    /// Sockets for which this machine lacked something, and when they are tried again.
+    starved: BTreeSet<Source>,
+    starved_until: Option<Millis>,
+    /// When files are read again that a SIGHUP found in trouble.
+    reload_at: Option<Millis>,
     /// Connections with something to write or, after their turn, to read.
     dirty: BTreeSet<Source>,
     exit_by: Option<Millis>,
@@ -158,32 +171,33 @@
 
 /// Serves until it is told to end.
 pub fn run(sources: Sources) -> Result<(), String> {
-    let (config, operator) = sources.load()?;
+    let (config, operator) = load_patiently(&sources)?;
     let io = |what: &str| {
         let what = what.to_owned();
         move |e: io::Error| format!("{what}: {e}")
     };
     let mut events: EventLoop<'static, Runtime> =
-        EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
+        patiently(|| EventLoop::try_new().map_err(io_error)).map_err(io("event loop"))?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP]);
-    let signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let all = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
+    let signals = patiently(|| Signals::new(&all).map_err(io_error)).map_err(io("signals"))?;
     let noted =
         |event: calloop::signals::Event, (): &mut (), state: &mut Runtime| state.signals.push(event.signal());
     handle.insert_source(signals, noted).map_err(|e| format!("signals: {e}"))?;
     std::panic::set_hook(Box::new(|panic| say!("{panic}")));
     let start = Instant::now();
     let reducer = Reducer::new(config.settings, config.net.clone(), config.seed, 0.0, unix_ms());
-    let listener = listen(config.listen).map_err(io("listen"))?;
+    let listener = patiently(|| listen(config.listen)).map_err(io("listen"))?;
     let listener = Rc::new(listener);
     let listens = listener.local_addr().map_err(io("listen"))?;
-    let token =
-        register(&handle, listener.clone(), Source::Listener, Interest::READ).map_err(io("listen"))?;
+    let token = patiently(|| register(&handle, listener.clone(), Source::Listener, Interest::READ));
+    let token = token.map_err(io("listen"))?;
     let places = config.ops.map(Place::Tcp).into_iter().chain(operator.ops_socket.map(Place::Unix));
     let mut ops_places = Vec::new();
     for place in places {
         let named = format!("listen for operators at {place}");
-        ops_places.push(operators::Called::listen(&handle, place).map_err(io(&named))?);
+        let called = patiently(|| operators::Called::listen(&handle, place.clone()));
+        ops_places.push(called.map_err(io(&named))?);
     }
     let called = !ops_places.is_empty();
     let seat =
@@ -223,6 +237,9 @@
         board_at: config.board,
         board: None,
         watch: DiscoveryWatch::new(config.rev, config.seed),
+        starved: BTreeSet::new(),
+        starved_until: None,
+        reload_at: None,
         dirty: BTreeSet::new(),
         exit_by: None,
         buffer: vec![0; 64 * 1024],
@@ -248,10 +265,11 @@
     say!("{} listens on {}, the board is at {}", config.name, listens, config.board);
     while !state.over() {
         let wait = Duration::from_secs_f64((state.wake() - state.now()).clamp(0.0, IDLE_MS) / 1000.0);
-        match events.dispatch(Some(wait), &mut state) {
-            Ok(()) => state.turn(),
-            Err(e) => say!("event loop: {e}"),
+        if let Err(e) = events.dispatch(Some(wait), &mut state) {
+            say!("event loop: {e}");
+            std::thread::sleep(SHORTAGE_PAUSE); // What is due is done all the same, but not in a rush.
         }
+        state.turn();
     }
     state.leave_seat(true);
     state.close_rest();
@@ -260,6 +278,28 @@
     Ok(())
 }
 
+/// Makes a call at the start again and again while it fails in a way that may pass.
+fn patiently<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let until = Instant::now() + START_PATIENCE;
+    loop {
+        match call() {
+            Err(e) if errno::may_pass(&e) && Instant::now() < until => std::thread::sleep(SHORTAGE_PAUSE),
+            done => return done,
+        }
+    }
+}
+
+/// Reads the config and the operator's file at the start.
+fn load_patiently(sources: &Sources) -> Result<(Config, Operator), String> {
+    let until = Instant::now() + START_PATIENCE;
+    loop {
+        match sources.load() {
+            Err(fault) if fault.may_pass && Instant::now() < until => std::thread::sleep(SHORTAGE_PAUSE),
+            read => return read.map_err(|fault| fault.words),
+        }
+    }
+}
+
 /// The system's Unix clock, for the times that the protocol names.
 fn unix_ms() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
@@ -300,8 +340,9 @@
         let board = Some(self.watch.due);
         let seat = self.seat.as_ref().and_then(fleet::Seat::due_in).map(|wait| self.now() + wait);
         let (links, lingering) = (self.links.next_due(), self.lingering_due());
-        let dues = [self.reducer.next_due(), links, board, self.accept_from, self.exit_by, seat, lingering];
-        dues.into_iter().flatten().fold(f64::INFINITY, f64::min)
+        let own = [self.accept_from, self.exit_by, self.starved_until, self.reload_at];
+        let dues = [self.reducer.next_due(), links, board, seat, lingering].into_iter().chain(own);
+        dues.flatten().fold(f64::INFINITY, f64::min)
     }
 
     /// One round: what is ready, then what is due.
@@ -318,7 +359,7 @@
                     }
                     self.write_views();
                 }
-                Signal::SIGHUP => self.reload(self.sources.load()),
+                Signal::SIGHUP => self.reload(),
                 _ => {
                     say!("told to end; {} requests are open", self.reducer.open());
                     self.inbox.push(Input::Terminate);
@@ -326,18 +367,7 @@
             }
         }
         for (source, readiness) in std::mem::take(&mut self.ready) {
-            let sock = match source {
-                _ if self.lingering.contains_key(&source) => {
-                    self.lingering.get_mut(&source).map(|one| &mut one.sock)
-                }
-                Source::Link(key) => self.link_socks.get_mut(&key),
-                Source::Dial(key) => self.dials.get_mut(&key).map(|(.., sock)| sock),
-                Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
-                Source::Board => self.board.as_mut().map(|(sock, _)| sock),
-                Source::Caller(key) => self.caller_sock(key),
-                Source::Listener | Source::Callers | Source::Fleet => None,
-            };
-            if let Some(sock) = sock {
+            if let Some(sock) = self.sock(source) {
                 sock.readable |= readiness.readable || readiness.error;
                 sock.writable |= readiness.writable || readiness.error;
             }
@@ -348,6 +378,12 @@
             self.accept_from = None;
             self.dirty.insert(Source::Listener);
         }
+        if self.reload_at.is_some_and(|at| at <= now) {
+            self.reload();
+        }
+        if self.starved_until.is_some_and(|at| at <= now) {
+            self.feed_starved();
+        }
         for source in std::mem::take(&mut self.dirty) {
             self.serve(source);
         }
@@ -375,6 +411,61 @@
         self.close_all();
     }
 
+    /// The socket of a source, if it has one of its own.
+    fn sock(&mut self, source: Source) -> Option<&mut Sock> {
+        match source {
+            _ if self.lingering.contains_key(&source) => {
+                self.lingering.get_mut(&source).map(|one| &mut one.sock)
+            }
+            Source::Link(key) => self.link_socks.get_mut(&key),
+            Source::Dial(key) => self.dials.get_mut(&key).map(|(.., sock)| sock),
+            Source::Front(key) => self.fronts.get_mut(&key).map(|(sock, _)| sock),
+            Source::Board => self.board.as_mut().map(|(sock, _)| sock),
+            Source::Caller(key) => self.caller_sock(key),
+            Source::Listener | Source::Callers | Source::Fleet => None,
+        }
+    }
+
+    /// Has the loop watch a socket. Where it has no room, the socket is looked at again and again until it has.
+    fn watch(&mut self, stream: Rc<Socket>, source: Source, ready: bool) -> Sock {
+        let token = register(&self.handle, stream.clone(), source, Interest::BOTH);
+        if let Err(e) = &token {
+            say!("the event loop has no room for a connection yet: {e}");
+            self.starve(source);
+        }
+        Sock { stream, token: token.ok(), readable: ready, writable: ready }
+    }
+
+    /// Closes a socket, once nobody else holds it.
+    fn drop_sock(&mut self, sock: &Sock) {
+        if let Some(token) = sock.token {
+            self.handle.remove(token);
+        }
+    }
+
+    /// This machine lacks something for a socket: it is served again after a short pause, as no readiness will tell.
+    fn starve(&mut self, source: Source) {
+        self.reducer.counters.shortages += 1;
+        self.starved.insert(source);
+        let until = self.now() + SHORTAGE_PAUSE.as_secs_f64() * 1000.0;
+        self.starved_until.get_or_insert(until);
+    }
+
+    /// Serves what had to wait for want of something again.
+    fn feed_starved(&mut self) {
+        self.starved_until = None;
+        for source in std::mem::take(&mut self.starved) {
+            self.dirty.insert(source);
+            let handle = self.handle.clone();
+            let Some(sock) = self.sock(source).filter(|sock| sock.token.is_none()) else { continue };
+            (sock.readable, sock.writable) = (true, true);
+            sock.token = register(&handle, sock.stream.clone(), source, Interest::BOTH).ok();
+            if sock.token.is_none() {
+                self.starve(source);
+            }
+        }
+    }
+
     /// Serves one connection. A panic stops there: the connection ends, the rest goes on.
     fn serve(&mut self, source: Source) {
         let served = catch_unwind(AssertUnwindSafe(|| match source {
@@ -479,13 +570,19 @@
         }
     }
 
-    /// SIGHUP: takes over what can change while serving. A config that can't be read changes nothing.
-    fn reload(&mut self, read: Result<(Config, Operator), String>) {
-        let (config, operator) = match read {
+    /// SIGHUP: takes over what can change while serving. A config that is out of form changes nothing; one that can't be
+    /// read just now is read again shortly.
+    fn reload(&mut self) {
+        self.reload_at = None;
+        let (config, operator) = match self.sources.load() {
             Ok(read) => read,
-            Err(why) => {
+            Err(fault) if fault.may_pass => {
+                self.reload_at = Some(self.now() + RELOAD_AGAIN_MS);
+                return say!("the new config can't be read yet: {}", fault.words);
+            }
+            Err(fault) => {
                 self.reducer.counters.reloads_refused += 1;
-                return say!(always; "the new config is not taken, the old one stays: {why}");
+                return say!(always; "the new config is not taken, the old one stays: {}", fault.words);
             }
         };
         self.reducer.counters.reloads += 1;
--- a/src/runtime/operators.rs
+++ b/src/runtime/operators.rs
@@ -2,6 +2,7 @@
 
 use super::socket::{listen, register, Io, Sock};
 use super::{Runtime, Source};
+use crate::errno::{self, Verdict};
 use crate::ops::control::Place;
 use crate::ops::{self, MAX_CALLERS, WHOLE_MS};
 use crate::reducer::Input;
@@ -33,14 +34,21 @@
 
     fn accept_callers_at(&mut self, at: usize) {
         loop {
-            let accepted = self.ops_places[at].listener.accept().and_then(|(stream, _)| {
-                stream.set_nonblocking(true)?;
-                let stream = Rc::new(stream);
-                let source = Source::Caller(self.next_caller + 1);
-                let token = register(&self.handle, stream.clone(), source, Interest::BOTH)?;
-                Ok(Sock { stream, token, readable: true, writable: true })
-            });
-            let Ok(sock) = accepted else { return };
+            let stream = match self.ops_places[at].listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) => match errno::verdict(&e) {
+                    Verdict::WouldBlock => return,
+                    Verdict::Interrupted => continue,
+                    // No readiness will tell of those that still wait.
+                    Verdict::Peer | Verdict::Unreachable | Verdict::Shortage => {
+                        return self.starve(Source::Callers);
+                    }
+                },
+            };
+            if stream.set_nonblocking(true).is_err() {
+                continue; // It could hold everything up.
+            }
+            let sock = self.watch(Rc::new(stream), Source::Caller(self.next_caller + 1), true);
             if self.callers.len() >= MAX_CALLERS {
                 if let Some(oldest) = self.callers.keys().next().copied() {
                     self.close_caller(oldest);
@@ -74,6 +82,10 @@
                 Ok(bytes) => caller.bytes.extend_from_slice(&self.buffer[..bytes]),
                 Err(Io::Closed | Io::Broken) => return self.close_caller(key),
                 Err(Io::Blocked) => break,
+                Err(Io::Starved) => {
+                    self.starve(Source::Caller(key));
+                    break;
+                }
             }
             match ops::read(&caller.bytes) {
                 Ok(None) => {}
@@ -122,6 +134,7 @@
                 }
                 Err(Io::Closed | Io::Broken) => return self.close_caller(key),
                 Err(Io::Blocked) => return,
+                Err(Io::Starved) => return self.starve(Source::Caller(key)),
             }
         }
     }
@@ -135,7 +148,7 @@
 
     pub(super) fn close_caller(&mut self, key: u64) {
         if let Some(caller) = self.callers.remove(&key) {
-            self.handle.remove(caller.sock.token);
+            self.drop_sock(&caller.sock);
         }
     }
 
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -1,9 +1,12 @@
 //! One socket in the loop, and how to make one.
 
 use super::{Runtime, Source};
-use crate::addresses::Endpoint;
+use crate::addresses::{Endpoint, Failure};
+use crate::back::DialEnd;
+use crate::errno::{self, Verdict};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use rustix::io::Errno;
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -13,13 +16,12 @@
 /// Connections that may wait to be accepted: hundreds can come together, and one that finds no place here
 /// tries again only after a second.
 const BACKLOG: i32 = 1024;
-/// A connect that goes on by itself, on Linux; it has no stable [`ErrorKind`].
-const EINPROGRESS: i32 = 115;
 
 /// A socket in the loop. Edge-triggered: what it was last found able to do is kept here.
 pub(super) struct Sock {
     pub(super) stream: Rc<Socket>,
-    pub(super) token: RegistrationToken,
+    /// None: the loop had no room for it yet, and it is looked at again and again until it has.
+    pub(super) token: Option<RegistrationToken>,
     pub(super) readable: bool,
     pub(super) writable: bool,
 }
@@ -28,6 +30,8 @@
 pub(super) enum Io {
     /// The socket can do no more now.
     Blocked,
+    /// This machine lacks something for it now. To be tried again shortly: no readiness will tell.
+    Starved,
     /// The peer has closed its side.
     Closed,
     /// It is broken: reset by its peer, or its path is gone.
@@ -48,7 +52,15 @@
         known.error |= readiness.error;
         Ok(PostAction::Continue)
     };
-    handle.insert_source(generic, noted).map_err(|e| io::Error::other(e.to_string()))
+    handle.insert_source(generic, noted).map_err(|e| io_error(e.error))
+}
+
+/// The system's error in one of the event loop's.
+pub(super) fn io_error(error: calloop::Error) -> io::Error {
+    match error {
+        calloop::Error::IoError(error) => error,
+        other => io::Error::other(other.to_string()),
+    }
 }
 
 pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -67,20 +79,29 @@
         Endpoint::Unix(path) => (Domain::UNIX, None, SockAddr::unix(path)?),
         Endpoint::Tcp(address) => (Domain::for_address(*address), Some(Protocol::TCP), (*address).into()),
     };
-    let socket = Socket::new(domain, Type::STREAM, protocol)?;
-    socket.set_nonblocking(true)?;
+    let socket = Socket::new(domain, Type::STREAM.nonblocking(), protocol)?;
     if protocol.is_some() {
         socket.set_tcp_nodelay(true)?;
     }
     match socket.connect(&address) {
-        // A Unix socket whose queue is full says EAGAIN and does not go on by itself.
-        Err(e) if protocol.is_none() || !is_under_way(&e) => Err(e),
-        _ => Ok(socket),
+        Ok(()) => Ok(socket),
+        // A connect that is interrupted goes on by itself, as one that takes its time does (connect(2)).
+        Err(e) if matches!(Errno::from_io_error(&e), Some(Errno::INPROGRESS | Errno::INTR)) => Ok(socket),
+        Err(e) => Err(e),
     }
 }
 
-pub(super) fn is_under_way(e: &io::Error) -> bool {
-    e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(EINPROGRESS)
+/// What it says of a path that its dial has ended with an error, at once or later.
+pub(super) fn dial_end(endpoint: &Endpoint, error: &io::Error) -> DialEnd {
+    match (errno::verdict(error), endpoint) {
+        (Verdict::Shortage | Verdict::Interrupted, _) => DialEnd::NoRoom,
+        // A Unix socket's connect says so where the peer's queue is full, any other's where ports are short.
+        (Verdict::WouldBlock, Endpoint::Unix(_)) => DialEnd::Failed(Failure::Refused),
+        (Verdict::WouldBlock, Endpoint::Tcp(_)) => DialEnd::NoRoom,
+        (Verdict::Unreachable, _) => DialEnd::Unreachable,
+        (Verdict::Peer, _) if error.kind() == ErrorKind::TimedOut => DialEnd::Failed(Failure::NotUp),
+        (Verdict::Peer, _) => DialEnd::Failed(Failure::Refused),
+    }
 }
 
 impl Sock {
@@ -99,12 +120,15 @@
         match io() {
             Ok(0) => return Err(Io::Closed),
             Ok(bytes) => return Ok(bytes),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                *able = false;
-                return Err(Io::Blocked);
-            }
-            Err(_) => return Err(Io::Broken),
+            Err(e) => match errno::verdict(&e) {
+                Verdict::Interrupted => {}
+                Verdict::WouldBlock => {
+                    *able = false;
+                    return Err(Io::Blocked);
+                }
+                Verdict::Shortage => return Err(Io::Starved),
+                Verdict::Unreachable | Verdict::Peer => return Err(Io::Broken),
+            },
         }
     }
 }
--- a/tests/addresses.rs
+++ b/tests/addresses.rs
@@ -2,7 +2,7 @@
 
 use frostturn::addresses::{Book, DialKey, Endpoint, Failure, Listing, Race, Rules, Step, MAX_DIALS};
 use frostturn::api::{CacheId, Millis, Phase};
-use frostturn::back::{Dialling, Links};
+use frostturn::back::{DialEnd, Dialling, Links};
 use frostturn::reasons::{AttemptCause, EndpointClose};
 use frostturn::reducer::{Ask, Call, Progress};
 use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
@@ -140,7 +140,7 @@
             if until.is_finite() && failures > 0 {
                 assert!(book.trials(until - 0.001).is_empty());
                 assert_eq!(book.trials(until), [(a.clone(), v6(1))]);
-                book.untried(&a, &v6(1));
+                book.untried(now, &a, &v6(1));
                 now = until;
             }
         }
@@ -327,7 +327,8 @@
     let (mut links, a) = links();
     let (key, _) = links.send(0.0, 1, &a, &call("one", false)).expect("room");
     let (_, dial, _) = started(&mut links, 0.0).remove(0);
-    let left = links.dial_failed(0.0, key, dial, Some(Failure::Refused)).expect("it is left alone");
+    let left =
+        links.dial_failed(0.0, key, dial, DialEnd::Failed(Failure::Refused)).expect("it is left alone");
     let dials = started(&mut links, 0.0);
     links.up(1.0, key, dials[0].1).expect("it is waited for");
     // The trial begins when the pause is over, with no request on it, and greets.
@@ -444,7 +445,7 @@
                 Some(Move::Refused(which)) => {
                     if let Some((dial, key)) = nth(which) {
                         dials.remove(&dial);
-                        links.dial_failed(now, key, dial, Some(Failure::Refused));
+                        links.dial_failed(now, key, dial, DialEnd::Failed(Failure::Refused));
                     }
                 }
                 Some(Move::Up(which)) => {
