--- a/src/runtime/fleet.rs
+++ b/src/runtime/fleet.rs
@@ -66,7 +66,7 @@
         Fleet::new(settings.clone(), name, 1, 0.0, seed)?;
         let mut seat = Self { settings, name: name.to_owned(), seed, speaks: None, bind_at: None, unsent: 0 };
         let (at, fleet) = (seat.settings.listen, seat.settings.fleet.clone());
-        match seat.try_bind(handle) {
+        match super::patiently(|| seat.try_bind(handle)) {
             Ok(true) => say!("fleet {fleet}: {name} hears the others at {at}, start {}", seat.start()),
             Ok(false) => {
                 say!("fleet {fleet}: another process has {at}; this one speaks once that has let go")
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -184,7 +184,7 @@
     let signals = patiently(|| Signals::new(&all).map_err(io_error)).map_err(io("signals"))?;
     let noted =
         |event: calloop::signals::Event, (): &mut (), state: &mut Runtime| state.signals.push(event.signal());
-    handle.insert_source(signals, noted).map_err(|e| format!("signals: {e}"))?;
+    insert_patiently(&handle, signals, noted).map_err(io("signals"))?;
     std::panic::set_hook(Box::new(|panic| say!("{panic}")));
     let start = Instant::now();
     let reducer = Reducer::new(config.settings, config.net.clone(), config.seed, 0.0, UnixTime::now());
@@ -290,6 +290,24 @@
     }
 }
 
+/// Has the loop watch for signals, trying again while it has no room in a way that may pass.
+fn insert_patiently(
+    handle: &LoopHandle<'static, Runtime>,
+    mut signals: Signals,
+    noted: fn(calloop::signals::Event, &mut (), &mut Runtime),
+) -> io::Result<()> {
+    let until = Instant::now() + START_PATIENCE;
+    loop {
+        let Err(refused) = handle.insert_source(signals, noted) else { return Ok(()) };
+        let error = io_error(refused.error);
+        if !errno::may_pass(&error) || Instant::now() >= until {
+            return Err(error);
+        }
+        signals = refused.inserted;
+        std::thread::sleep(SHORTAGE_PAUSE);
+    }
+}
+
 /// Reads the config and the operator's file at the start.
 fn load_patiently(sources: &Sources) -> Result<(Config, Operator), String> {
     let until = Instant::now() + START_PATIENCE;
