--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,6 +1,6 @@
 //! Figures of what the router takes in, sends and answers; printed on a signal and at exit.
 
-use crate::reasons::{AttemptCause, ClientClose, Counts, EndpointClose, Refusal};
+use crate::reasons::{AttemptCause, ClientClose, Counts, EndpointClose, Refusal, Violation};
 
 /// Closes, refusals, failures and attempts by their reasons.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub failures: Counts<Refusal>,
     /// Attempts.
     pub attempts: Counts<AttemptCause>,
+    /// Rules that this process has seen itself break.
+    pub violations: Counts<Violation>,
 }
 
 impl std::fmt::Display for ByReason {
@@ -23,7 +25,9 @@
         self.endpoint_closes.write(f, "endpoint_closed")?;
         self.refusals.write(f, "refused")?;
         self.failures.write(f, "failed")?;
-        self.attempts.write(f, "attempted")
+        self.attempts.write(f, "attempted")?;
+        write!(f, " violations={}", self.violations.total())?;
+        self.violations.write(f, "violation")
     }
 }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -393,11 +393,21 @@
         }
     }
 
-    /// Requests that are open on it.
+    /// Requests that are open on it, half read ones among them.
     pub fn open(&self) -> usize {
         self.open.len()
     }
 
+    /// Requests that are open on it and began to come after `since`.
+    pub fn open_after(&self, since: Millis) -> usize {
+        self.open.values().filter(|open| open.begun > since).count()
+    }
+
+    /// Requests that have come whole on it and are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.open.values().filter(|open| open.stage == Stage::Whole).count()
+    }
+
     /// Bytes that are still to be written.
     pub fn unwritten(&self) -> usize {
         self.unwritten
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -167,6 +167,16 @@
     }
 }
 
+reasons! {
+    /// A rule that this process has seen itself break. Each is counted and logged; none should ever be seen.
+    Violation {
+        /// A client's connection was there past the time in which an evacuated router may keep it.
+        HeldPastDrain: "held_past_drain", "a client was connected past the time of a drain";
+        /// A client's connection was closed from this side over requests that had come whole on it.
+        ClosedOwing: "closed_owing", "a connection was closed over requests that are owed an answer";
+    }
+}
+
 /// How often each reason of a kind was given.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Counts<R: Reason>(BTreeMap<R, u64>);
--- a/src/reducer/machines.rs
+++ b/src/reducer/machines.rs
@@ -136,6 +136,9 @@
             ops::Call::Ready => yes(self.ready()),
             ops::Call::Evacuate => {
                 self.service.evacuate(now);
+                if self.service.evacuated() == Some(now) {
+                    self.at(now + DRAINED_BY_MS, Due::AuditDrain);
+                }
                 ops::Verdict::Yes
             }
             ops::Call::Rejoin => yes(self.service.rejoin()),
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -16,7 +16,7 @@
 use crate::counters::Counters;
 use crate::ops;
 use crate::plugins::{About, Loaded, Plugins, Watch};
-use crate::service::{Exclusions, Service};
+use crate::service::{Exclusions, Service, DRAINED_BY_MS};
 use crate::Router;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 pub use words::{Answer, Ask, AttemptKey, Call, Client, Effect, End, Failure, Input, Progress, Reply};
@@ -62,6 +62,7 @@
     Apart(AttemptKey),
     Unsent(AttemptKey),
     StopListening,
+    AuditDrain,
     AnswerAll,
     Exit,
 }
@@ -215,6 +216,11 @@
         self.serves() && self.service.takes_clients()
     }
 
+    /// Where it stands between serving and its end.
+    pub fn service(&self) -> Service {
+        self.service
+    }
+
     /// Whether it was told to end.
     pub fn ends(&self) -> bool {
         self.service.ending().is_some()
@@ -396,6 +402,11 @@
                 self.effects.push(Effect::StopListening);
                 self.at(now, Due::Exit);
             }
+            Due::AuditDrain => {
+                // It may have been called back, and evacuated again, since.
+                let over = self.service.evacuated().is_some_and(|since| now - since >= DRAINED_BY_MS);
+                self.effects.extend(over.then_some(Effect::AuditDrain));
+            }
             Due::AnswerAll => {
                 let all: Vec<Client> = self.held.keys().copied().collect();
                 all.into_iter().for_each(|client| self.guard(now, client));
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -339,6 +339,8 @@
     Log(String),
     /// Take no more connections, read what has come by now, and say [`Input::DoorShut`].
     StopListening,
+    /// The time in which an evacuated router may keep its clients is over: count those that are still there.
+    AuditDrain,
     /// All is answered: send what is left and end, at the latest by then.
     Exit {
         /// When.
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -5,7 +5,7 @@
 use crate::api::Millis;
 use crate::errno::{self, Verdict};
 use crate::front::{self, Conn, Standing};
-use crate::reasons::{ClientClose, Reason as _};
+use crate::reasons::{ClientClose, Reason as _, Violation};
 use crate::reducer::{Client, Input};
 use crate::{say, trace_event};
 use rustix::io::Errno;
@@ -312,8 +312,15 @@
     pub(super) fn forget_front(&mut self, key: u64, reason: ClientClose) -> Option<Sock> {
         let (sock, conn) = self.fronts.remove(&key)?;
         self.reducer.counters.reasons.client_closes.add(reason);
-        let (open, unwritten) = (conn.open(), conn.unwritten());
-        trace_event!(self.now(), "client_closed", client = key, reason = reason.key(), open, unwritten);
+        let (open, owed, unwritten) = (conn.open(), conn.owed(), conn.unwritten());
+        trace_event!(self.now(), "client_closed", client = key, reason = reason.key(), open, owed, unwritten);
+        // One that takes nothing of what it is owed can't be answered either.
+        let by_client =
+            matches!(reason, ClientClose::PeerClosed | ClientClose::PeerReset | ClientClose::Deaf);
+        if owed > 0 && !by_client {
+            let why = format_args!("client {key} was closed ({reason}) over {owed} requests");
+            self.violated(Violation::ClosedOwing, why);
+        }
         self.coming -= conn.holding();
         self.inbox.push(Input::Closed { conn: key });
         Some(sock)
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -77,7 +77,8 @@
         | Effect::Verdict { .. }
         | Effect::Report { .. }
         | Effect::Log(_)
-        | Effect::StopListening => {}
+        | Effect::StopListening
+        | Effect::AuditDrain => {}
     }
 }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 
 mod board;
 mod clients;
+mod drains;
 mod events;
 mod fleet;
 mod handover;
@@ -154,6 +155,8 @@
     /// Connections with something to write or, after their turn, to read.
     dirty: BTreeSet<Source>,
     exit_by: Option<Millis>,
+    /// When the state of an evacuation is told next; none: there is none, or all clients have left.
+    drain_told_at: Option<Millis>,
     buffer: Vec<u8>,
     /// Loads of plug-ins so far, and where their threads tell of themselves; none while there are no plug-ins.
     plugin_turn: u64,
@@ -243,6 +246,7 @@
         reload_at: None,
         dirty: BTreeSet::new(),
         exit_by: None,
+        drain_told_at: None,
         buffer: vec![0; 64 * 1024],
         plugin_turn: 0,
         plugin_ready: None,
@@ -410,6 +414,7 @@
             self.sweep_at = now + SWEEP_MS;
             self.sweep(now);
             self.sweep_callers(now);
+            self.tell_drain(now);
             self.take_state();
             self.inbox.push(Input::ClocksRead { unix: UnixTime::now() });
         }
@@ -520,12 +525,14 @@
     fn step(&mut self, input: Input) {
         let now = self.now();
         events::input(now, &input);
+        let before = self.reducer.service();
         let step = catch_unwind(AssertUnwindSafe(|| self.reducer.step(now, input)));
         let Ok(effects) = step else {
             // The guard timers still answer whatever this leaves open.
             self.reducer.counters.panics += 1;
             return say!("a panic ends the handling of one input");
         };
+        self.tell_service(before);
         effects.into_iter().for_each(|effect| self.carry_out(now, effect));
     }
 
@@ -582,6 +589,7 @@
                 }
                 self.inbox.push(Input::DoorShut);
             }
+            Effect::AuditDrain => self.audit_drain(),
             Effect::Exit { by } => self.exit_by = Some(by),
         }
     }
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -19,6 +19,12 @@
 /// The front has heard a no by then, and clients bring nothing new: what is at rest may be closed.
 const HEARD_MS: Millis = 500.0;
 
+/// So long after an evacuation no client's connection may be idle, or carry a request that came within the last
+/// [`RECENT_MS`] (the operators' page of days, "Draining a request router").
+pub const DRAINED_BY_MS: Millis = 4000.0;
+/// See [`DRAINED_BY_MS`].
+pub const RECENT_MS: Millis = 2000.0;
+
 /// Where a router stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Service {
@@ -76,6 +82,24 @@
         }
     }
 
+    /// Since when operators have it emptied, if they do.
+    pub fn evacuated(&self) -> Option<Millis> {
+        match self {
+            Self::Evacuating(since) => Some(*since),
+            Self::Serving | Self::Ending(_) | Self::Shut(_) => None,
+        }
+    }
+
+    /// Its name in log lines.
+    pub fn key(&self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Evacuating(_) => "evacuating",
+            Self::Ending(_) => "ending",
+            Self::Shut(_) => "shut",
+        }
+    }
+
     /// Since when it ends.
     pub fn ending(&self) -> Option<Millis> {
         match self {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -219,6 +219,7 @@
         let status = self.child.wait().expect("it has ended");
         until("its last line", || self.said().contains(" ends; counters"));
         assert!(status.success(), "{}", self.said());
+        assert_eq!(figure(&self.said(), "violations"), 0, "{}", self.said());
         self.said()
     }
 }
