--- /dev/null
+++ b/tests/drain.rs
@@ -0,0 +1,75 @@
+//! Emptying a router, and ending it, while its clients go on sending: no connection waits for a rest that never comes.
+
+mod rig;
+
+use rig::flow::{hold_back, until_closed, Seen, Shape};
+use rig::{call, figure, Client, Endpoint, Router, Site};
+use std::time::{Duration, Instant};
+
+/// What the operators grant an evacuation.
+const DRAINED_BY: Duration = Duration::from_millis(4000);
+/// What SIGKILL grants beyond the longest deadline.
+const KILL_MORE: Duration = Duration::from_millis(700);
+
+const SHAPES: [Shape; 2] = [Shape::Overlapping, Shape::InPieces];
+
+/// A site of one endpoint whose router can be called by operators.
+fn called(endpoint: &Endpoint) -> Site {
+    let mut site = Site::new(&[("e-1", endpoint)]);
+    site.options = vec!["--ops".into(), "127.0.0.1:0".into()];
+    site
+}
+
+/// All that was taken is answered once, and the connection has ended without a reset.
+fn kept_its_word(seen: &Seen, what: &str) {
+    assert_eq!(seen.unanswered(), [0u16; 0], "{what}: {seen:?}");
+    assert_eq!(seen.answered_twice(), [0u16; 0], "{what}");
+    assert!(seen.ended.is_some_and(|(_, reset)| !reset), "{what}: {:?}", seen.ended);
+}
+
+#[test]
+fn a_connection_that_is_never_at_rest_is_closed_in_the_time_of_a_drain() {
+    for shape in SHAPES {
+        let endpoint = Endpoint::new();
+        let router = Router::start("neverrests", &called(&endpoint));
+        let client = Client::connect(&router);
+        let holding = hold_back(endpoint, 2);
+        let ops = router.ops();
+        let evacuated = Instant::now();
+        assert_eq!(call(&ops, "POST", "/api/evacuate", ""), 200);
+        let seen = until_closed(client, shape, 2900, evacuated + DRAINED_BY);
+        let took = seen.ended.expect("read to its end").0 - evacuated;
+        assert!(took < DRAINED_BY, "{shape:?}: open after {took:?}");
+        kept_its_word(&seen, &format!("{shape:?}"));
+        let statuses = seen.statuses_after(evacuated);
+        assert!(statuses.iter().filter(|status| **status == 200).count() > 20, "{shape:?}: {statuses:?}");
+        assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{shape:?}: {statuses:?}");
+        router.end();
+        drop(holding);
+    }
+}
+
+#[test]
+fn clients_that_send_until_the_kill_are_answered_and_closed_before_it() {
+    for (shape, deadline_ms) in SHAPES.into_iter().flat_map(|shape| [(shape, 3000), (shape, 300)]) {
+        let what = format!("{shape:?}, deadline {deadline_ms} ms");
+        let endpoint = Endpoint::new();
+        let mut site = called(&endpoint);
+        site.deadline_ms = deadline_ms;
+        let router = Router::start("untilkill", &site);
+        let client = Client::connect(&router);
+        let holding = hold_back(endpoint, 2);
+        router.signal("-TERM");
+        let kill = Instant::now() + Duration::from_millis(deadline_ms) + KILL_MORE;
+        let seen = until_closed(client, shape, deadline_ms, kill);
+        kept_its_word(&seen, &what);
+        let half = seen.requests.values().find(|sent| sent.whole.is_none() && sent.answers.is_empty());
+        let end = seen.ended.expect("it ended").0;
+        let cut = half.is_some_and(|half| half.begun + rig::flow::CROSSES < end);
+        assert!(!cut, "{what}: a request that had begun to come was left without a word: {half:?}");
+        let log = router.ends();
+        assert!(!log.contains("client_closed_process_exit"), "{what}: {log}");
+        assert_eq!(figure(&log, "panics"), 0);
+        drop(holding);
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -15,6 +15,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub mod flow;
+
 /// The laboratory's, which these tests can't depend on as it depends on the daemon.
 #[path = "../../crates/frostturn-lab/src/loopback.rs"]
 pub mod loopback;
@@ -49,6 +51,8 @@
     pub options: Vec<String>,
     /// Where it keeps its files; where the system has them, if not set.
     pub tmp: Option<std::path::PathBuf>,
+    /// How long clients of each class wait, in milliseconds.
+    pub deadline_ms: u64,
 }
 
 impl Site {
@@ -63,22 +67,23 @@
             sockets: 256,
             options: Vec::new(),
             tmp: None,
+            deadline_ms: 3000,
         }
     }
 
     fn json(&self) -> String {
         let endpoints: Vec<String> = self.endpoints.iter().map(|(n, at)| endpoint(n, at, "active")).collect();
-        let Self { board, settings, limits, memory_mb, sockets, .. } = self;
+        let Self { board, settings, limits, memory_mb, sockets, deadline_ms, .. } = self;
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","board":"{board}",
             "limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},
             "known":{{"rev":1,"notices":[{}]}},
             "settings":{{"Az":"east","Localities":["east"],"MachineTypes":["std"],"Limits":{{{limits}}},{settings},
             "RequestClasses":[
-            {{"Name":"page","Repeat":"retryable","AimMs":250.0,"HardLimitMs":3000.0}},
-            {{"Name":"swap","Repeat":"fragile","AimMs":250.0,"HardLimitMs":3000.0}},
+            {{"Name":"page","Repeat":"retryable","AimMs":250.0,"HardLimitMs":{deadline_ms}.0}},
+            {{"Name":"swap","Repeat":"fragile","AimMs":250.0,"HardLimitMs":{deadline_ms}.0}},
             {{"Name":"keyed","Repeat":"dedup","DedupScope":"all","DedupWindowMs":150.0,"AimMs":250.0,
-            "HardLimitMs":3000.0}}]}}}}"#,
+            "HardLimitMs":{deadline_ms}.0}}]}}}}"#,
             pool(1, true, &endpoints.join(","))
         )
     }
@@ -450,13 +455,25 @@
 
     /// The bytes of a request of a class for an object, with an id of its own.
     pub fn request(request: u16, class: &str, id: u64, object: u64, body: &[u8]) -> Vec<u8> {
+        Self::request_within(2900, request, class, id, object, body)
+    }
+
+    /// The same, of a client that waits so many milliseconds.
+    pub fn request_within(
+        wait_ms: u64,
+        request: u16,
+        class: &str,
+        id: u64,
+        object: u64,
+        body: &[u8],
+    ) -> Vec<u8> {
         let (mut out, mut params) = (Vec::new(), Vec::new());
         fastcgi::record(&mut out, kind::BEGIN, request, &[0, 1, 1, 0, 0, 0, 0, 0]);
         let path = if class == "/alive" { class.to_owned() } else { format!("/ops/{class}") };
         for (name, value) in [
             ("SCRIPT_NAME", path),
             ("HTTP_X_REQUEST_ID", format!("{id:016x}")),
-            ("HTTP_X_TIMEOUT_MS", "2900".to_owned()),
+            ("HTTP_X_TIMEOUT_MS", wait_ms.to_string()),
             ("HTTP_X_OBJECT", format!("{object:016x}")),
         ] {
             fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
