Decide at an attempt's first byte whether it may begin, and with how much time

Change: Reducer::permit (reducer/gate.rs) is asked as an attempt's first byte would leave. It goes by the reducer's own state, refuses with a typed reason (reasons::Withheld, logged and counted; those that should be impossible as a violation) and gives what is left of the attempt's time-out and of its client's patience, with which the frame is worded anew. Links::overdue is gone. A send whose fill's source leaves is ended at once, as one whose endpoint leaves. tests/settings.rs: End::Overdue is End::Withheld(TooLate) now, its check is as before.

--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -113,13 +113,7 @@
             let bytes = resp::frame(&[b"HELO", tag.as_bytes()]);
             let progress = Progress::NotConnected;
             link.open.insert(tag.clone(), Open { what: What::Greeting, progress, alone: false });
-            link.out.push_front(Frame {
-                bytes,
-                opens: Some(tag),
-                alone: false,
-                moves: 0,
-                leave_by: f64::INFINITY,
-            });
+            link.out.push_front(Frame { bytes, call: None, opens: Some(tag), alone: false, moves: 0 });
             link.greeting = Some(now + wait);
         }
         let mut todo = Vec::new();
@@ -159,7 +153,7 @@
                 let at = link.out.iter().position(|f| f.opens.as_ref() == Some(&id) && f.moves < MAX_MOVES);
                 let Some(mut frame) = at.and_then(|at| link.out.remove(at)) else { continue };
                 frame.moves += 1;
-                let back = Frame { bytes: frame.bytes.clone(), opens: frame.opens.clone(), ..frame };
+                let back = frame.clone();
                 let Some(open) = link.open.remove(&id) else { continue };
                 match self.queue(now, what, &member, frame, true) {
                     Ok((to, _)) => drop(moved.insert(to)),
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -15,7 +15,7 @@
 use dials::left;
 use link::{Frame, Link, Open, What};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use words::request;
+use words::{limit as request_limit, request};
 
 /// A connection with something out that has said nothing for so long gets nothing more: its machine may have
 /// vanished, which nobody tells. A new connection shows it.
@@ -217,11 +217,11 @@
     ) -> Result<(LinkKey, bool), Unsent> {
         let id = call.ask.id.clone();
         let frame = Frame {
-            bytes: request(call),
+            bytes: request(call, call.fetch.timeout_ms),
+            call: Some(call.clone()),
             opens: Some(id),
             alone: call.alone,
             moves: 0,
-            leave_by: call.leave_by,
         };
         self.queue(now, What::Attempt(attempt), member, frame, true)
     }
@@ -231,7 +231,7 @@
         self.next_probe += 1;
         let tag = format!("probe{}", self.next_probe);
         let bytes = resp::frame(&[b"STAT", tag.as_bytes()]);
-        let frame = Frame { bytes, opens: Some(tag), alone: false, moves: 0, leave_by: f64::INFINITY };
+        let frame = Frame { bytes, call: None, opens: Some(tag), alone: false, moves: 0 };
         self.queue(now, What::Probe, member, frame, true)
     }
 
@@ -304,7 +304,7 @@
             link.out.retain(|frame| frame.opens.as_ref() != Some(&id));
         } else {
             let bytes = resp::frame(&[b"STOP", id.as_bytes()]);
-            link.out.push_back(Frame { bytes, opens: None, alone: false, moves: 0, leave_by: f64::INFINITY });
+            link.out.push_back(Frame { bytes, call: None, opens: None, alone: false, moves: 0 });
             link.over(now, id);
         }
         link.idle = now;
@@ -323,18 +323,34 @@
         self.links.get(&key).is_some_and(|link| !sent(link))
     }
 
-    /// Takes the next frame back if its time to leave is over and no byte of it has left: the attempt that it was of.
-    pub fn overdue(&mut self, now: Millis, key: LinkKey) -> Option<AttemptKey> {
-        let link = self.links.get_mut(&key).filter(|link| link.up.is_some() && link.written == 0)?;
-        let id = link.out.front().filter(|frame| frame.leave_by < now)?.opens.clone()?;
-        link.out.pop_front();
-        link.idle = now;
-        match link.open.remove(&id)?.what {
-            What::Attempt(attempt) => {
-                self.on.remove(&attempt);
-                Some(attempt)
+    /// The attempt whose frame is next to be written, and no byte of which has left: it may still be withheld.
+    pub fn unbegun(&self, key: LinkKey) -> Option<AttemptKey> {
+        let link = self.links.get(&key).filter(|link| link.up.is_some() && link.written == 0)?;
+        let id = link.out.front()?.opens.as_ref()?;
+        match link.open.get(id)?.what {
+            What::Attempt(attempt) => Some(attempt),
+            What::Probe | What::Greeting => None, // They are nobody's request.
+        }
+    }
+
+    /// The next frame may begin to leave, with this as its attempt's time.
+    pub fn begin(&mut self, key: LinkKey, limit_ms: Millis) {
+        let Some(frame) = self.links.get_mut(&key).and_then(|link| link.out.front_mut()) else { return };
+        if let Some(call) = &frame.call {
+            if request_limit(call.fetch.timeout_ms) != request_limit(limit_ms) {
+                frame.bytes = request(call, limit_ms);
             }
-            What::Probe | What::Greeting => None, // They are never overdue.
+        }
+    }
+
+    /// Takes the next frame back, no byte of which has left.
+    pub fn withhold(&mut self, now: Millis, key: LinkKey) {
+        let Some(link) = self.links.get_mut(&key).filter(|link| link.written == 0) else { return };
+        let Some(frame) = link.out.pop_front() else { return };
+        link.idle = now;
+        let open = frame.opens.and_then(|id| link.open.remove(&id));
+        if let Some(What::Attempt(attempt)) = open.map(|open| open.what) {
+            self.on.remove(&attempt);
         }
     }
 
--- a/src/back/words.rs
+++ b/src/back/words.rs
@@ -1,6 +1,6 @@
 //! The fields of frames, in words.
 
-use crate::api::{Keep, LoadReport, Note};
+use crate::api::{Keep, LoadReport, Millis, Note};
 use crate::config;
 use crate::reducer::Call;
 use crate::resp;
@@ -48,8 +48,13 @@
     })
 }
 
-/// The bytes of a request.
-pub(super) fn request(call: &Call) -> Vec<u8> {
+/// How an attempt's time is worded, in whole milliseconds; `None`: it has none of its own.
+pub(super) fn limit(limit_ms: Millis) -> Option<u64> {
+    (limit_ms > 0.0).then(|| limit_ms.ceil() as u64)
+}
+
+/// The bytes of a request that has so much time.
+pub(super) fn request(call: &Call, limit_ms: Millis) -> Vec<u8> {
     let (ask, fetch) = (&call.ask, &call.fetch);
     let mut fields = format!("cls={}", ask.class);
     let mut field = |name: &str, value: String| fields.extend([",", name, "=", &value]);
@@ -59,8 +64,8 @@
     if let Some(piece) = ask.piece {
         field("chunk", piece.to_string());
     }
-    if fetch.timeout_ms > 0.0 {
-        field("limit", (fetch.timeout_ms.ceil() as u64).to_string());
+    if let Some(limit) = limit(limit_ms) {
+        field("limit", limit.to_string());
     }
     if fetch.source != fetch.cache {
         field("fetch", fetch.source.to_string());
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,6 +1,6 @@
 //! Figures of what the router takes in, sends and answers; printed on a signal and at exit.
 
-use crate::reasons::{AttemptCause, ClientClose, Counts, EndpointClose, Refusal, Violation};
+use crate::reasons::{AttemptCause, ClientClose, Counts, EndpointClose, Refusal, Violation, Withheld};
 
 /// Closes, refusals, failures and attempts by their reasons.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub failures: Counts<Refusal>,
     /// Attempts.
     pub attempts: Counts<AttemptCause>,
+    /// Attempts that were not begun as their turn came.
+    pub withheld: Counts<Withheld>,
     /// Rules that this process has seen itself break.
     pub violations: Counts<Violation>,
 }
@@ -26,6 +28,7 @@
         self.refusals.write(f, "refused")?;
         self.failures.write(f, "failed")?;
         self.attempts.write(f, "attempted")?;
+        self.withheld.write(f, "withheld")?;
         write!(f, " violations={}", self.violations.total())?;
         self.violations.write(f, "violation")
     }
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -168,8 +168,45 @@
 }
 
 reasons! {
-    /// A rule that this process has seen itself break. Each is counted and logged; none should ever be seen.
+    /// Why an attempt that waited is not begun after all, asked as its first byte would leave.
+    Withheld {
+        /// The reducer has no such attempt: its client has left, or it was given up.
+        Unknown: "unknown", "it was given up";
+        /// Its endpoint leaves, or has left.
+        EndpointLeaves: "endpoint_leaves", "its endpoint leaves";
+        /// The source of its fill leaves, or has left.
+        SourceLeaves: "source_leaves", "its source leaves";
+        /// The time by which it was to leave is over: a repeat's window, or what a connection may take to come up.
+        TooLate: "too_late", "its time to leave is over";
+        /// Its client's time is up.
+        OutOfTime: "out_of_time", "its client's time is up";
+        /// It must not run twice, and an attempt before it may have run.
+        MayHaveRun: "may_have_run", "it may have run, and must not run twice";
+        /// Another attempt of it is out, and no two may be.
+        TwoAtOnce: "two_at_once", "another attempt of it is out";
+    }
+}
+
+impl Withheld {
+    /// Whether it should have been taken back or never been asked for, so that coming so far is a fault of this process.
+    pub fn is_violation(self) -> bool {
+        match self {
+            Self::TooLate | Self::OutOfTime => false,
+            Self::Unknown
+            | Self::EndpointLeaves
+            | Self::SourceLeaves
+            | Self::MayHaveRun
+            | Self::TwoAtOnce => true,
+        }
+    }
+}
+
+reasons! {
+    /// A rule that this process has seen itself break, or prevented at the last point. Each is counted; none should ever be
+    /// seen.
     Violation {
+        /// An attempt was about to begin that must not; it was withheld.
+        Begin: "begin", "an attempt was about to begin that must not";
         /// A client's connection was there past the time in which an evacuated router may keep it.
         HeldPastDrain: "held_past_drain", "a client was connected past the time of a drain";
         /// A client's connection was closed from this side over requests that had come whole on it.
--- a/src/reasons/tests.rs
+++ b/src/reasons/tests.rs
@@ -13,6 +13,7 @@
     keys_are_names_and_differ::<EndpointClose>();
     keys_are_names_and_differ::<Refusal>();
     keys_are_names_and_differ::<AttemptCause>();
+    keys_are_names_and_differ::<Withheld>();
     keys_are_names_and_differ::<Violation>();
 }
 
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -4,6 +4,7 @@
 //! that equal inputs give equal effects. What is decided about a request is the module's ([`crate::policy`]);
 //! what is owed for it is kept here: one final answer each, in time, and a true report of each attempt's end.
 
+mod gate;
 mod machines;
 mod requests;
 mod words;
@@ -18,6 +19,7 @@
 use crate::plugins::{About, Loaded, Plugins, Watch};
 use crate::service::{Exclusions, Service, DRAINED_BY_MS};
 use crate::Router;
+pub use gate::Permit;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 pub use words::{Answer, Ask, AttemptKey, Call, Client, Effect, End, Failure, Input, Progress, Reply};
 
@@ -76,9 +78,13 @@
     /// Attempts made, how the latest to end did, and those that are out.
     attempts: usize,
     ended: Option<Outcome>,
+    /// One that has ended may have run.
+    may_have_run: bool,
     out: Vec<AttemptKey>,
     /// Where two may not be out at once: until then one that was given up may be at work still.
     apart: Millis,
+    /// It is answered by then.
+    guard: Millis,
 }
 
 /// An attempt that is out.
@@ -90,6 +96,8 @@
     cache: CacheId,
     source: CacheId,
     sent: Millis,
+    timeout_ms: Millis,
+    leave_by: Millis,
     progress: Progress,
     /// It waits until another one is surely over.
     parked: Option<Call>,
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -98,10 +98,18 @@
         self.clients.insert(id.clone(), client);
         self.open_ids.insert(ask.id.clone());
         self.held_bytes += ask.body.len();
-        self.held.insert(
-            client,
-            Held { id, ask: ask.into(), fragile, attempts: 0, ended: None, out: Vec::new(), apart: 0.0 },
-        );
+        let held = Held {
+            id,
+            ask: ask.into(),
+            fragile,
+            attempts: 0,
+            ended: None,
+            may_have_run: false,
+            out: Vec::new(),
+            apart: 0.0,
+            guard,
+        };
+        self.held.insert(client, held);
         self.at(guard, Due::Guard(client));
     }
 
@@ -184,6 +192,8 @@
         self.next_attempt += 1;
         let key = self.next_attempt;
         held.out.push(key);
+        let unsent_ms = UNSENT_DIALS * self.net.dial_timeout_ms;
+        let leave_by = now + fetch.within_ms.map_or(unsent_ms, |within| within.min(unsent_ms));
         let out = Out {
             client,
             id: fetch.id.clone(),
@@ -191,19 +201,20 @@
             cache: fetch.cache.clone(),
             source: fetch.source.clone(),
             sent: now,
+            timeout_ms: fetch.timeout_ms,
+            leave_by,
             progress: Progress::NotConnected,
             parked: None,
         };
         let apart = held.apart;
         self.out.insert(key, out);
-        if self.members.get(&fetch.cache).is_none_or(|member| member.phase != Phase::Serving) {
+        let serves = |name: &CacheId| self.members.get(name).is_some_and(|m| m.phase == Phase::Serving);
+        if !serves(&fetch.cache) || !serves(&fetch.source) {
             return self.end(now, key, Outcome::Moot, None, false);
         }
         if fetch.timeout_ms > 0.0 {
             self.at(now + fetch.timeout_ms, Due::Limit(key));
         }
-        let unsent_ms = UNSENT_DIALS * self.net.dial_timeout_ms;
-        let leave_by = now + fetch.within_ms.map_or(unsent_ms, |within| within.min(unsent_ms));
         self.at(leave_by, Due::Unsent(key));
         let (member, call) = (fetch.cache.clone(), Call { ask, fetch, alone, leave_by, cause });
         if self.plugins.is_some() {
@@ -255,6 +266,7 @@
         if let Some(held) = self.held.get_mut(&out.client) {
             held.out.retain(|other| *other != key);
             held.ended = Some(outcome);
+            held.may_have_run |= !outcome.never_ran();
         }
         let counters = &mut self.counters;
         *match outcome {
@@ -310,7 +322,7 @@
                 return self.end(now, key, Outcome::Reset, None, false);
             }
             End::NoRoom => return self.end(now, key, Outcome::Moot, None, false),
-            End::Overdue => {
+            End::Withheld(_) => {
                 self.counters.attempt_pulled += 1;
                 return self.end(now, key, Outcome::Moot, None, false);
             }
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::clock::UnixTime;
-use crate::reasons::{AttemptCause, Reason as _, Refusal};
+use crate::reasons::{AttemptCause, Reason as _, Refusal, Withheld};
 
 /// A request of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -97,8 +97,8 @@
     Lost(Progress),
     /// It was not sent, as there was no room for another connection: that says nothing about its machine.
     NoRoom,
-    /// It was not sent, as its time to leave was over when its turn came: that says nothing about its machine.
-    Overdue,
+    /// It was not begun when its turn came: that says nothing about its machine.
+    Withheld(Withheld),
 }
 
 /// What the reducer is told.
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -29,7 +29,7 @@
                 End::Answer(answer) => format!("{:?}", answer.outcome),
                 End::Lost(progress) => format!("lost {progress:?}"),
                 End::NoRoom => "no room".to_owned(),
-                End::Overdue => "overdue".to_owned(),
+                End::Withheld(reason) => reason.key().to_owned(),
             };
             trace_event!(now, "attempt_ended", attempt, how);
         }
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -6,7 +6,7 @@
 use crate::addresses::{DialKey, Endpoint, Failure};
 use crate::api::{CacheId, LoadReport, Outcome};
 use crate::back::{self, DialEnd, Dialling, Leave, LinkKey, Unsent};
-use crate::reasons::{EndpointClose, Reason as _};
+use crate::reasons::{EndpointClose, Reason as _, Violation};
 use crate::reducer::{AttemptKey, Call, End, Input, Progress};
 use crate::{say, trace_event};
 use std::io;
@@ -203,15 +203,18 @@
     }
 
     pub(super) fn write_link(&mut self, key: LinkKey) -> Option<EndpointClose> {
-        let now = self.now();
-        let sock = self.link_socks.get_mut(&key)?;
         loop {
-            // The last point where it can be stopped: what is overdue by now doesn't begin to leave.
-            if let Some(attempt) = self.links.overdue(now, key) {
-                self.inbox.push(Input::Ended { attempt, end: End::Overdue });
-                continue;
+            if !self.link_socks.get(&key)?.writable {
+                return None;
+            }
+            if let Some(attempt) = self.links.unbegun(key) {
+                if !self.may_begin(key, attempt) {
+                    continue;
+                }
             }
-            let Some(bytes) = self.links.output(key).filter(|_| sock.writable) else { break };
+            let now = self.now();
+            let sock = self.link_socks.get_mut(&key)?;
+            let bytes = self.links.output(key)?;
             match sock.write(bytes) {
                 Ok(bytes) => {
                     if let Some((attempt, progress)) = self.links.wrote(now, key, bytes) {
@@ -219,14 +222,32 @@
                     }
                 }
                 Err(Io::Closed | Io::Broken) => return Some(EndpointClose::Broken),
-                Err(Io::Blocked) => break,
+                Err(Io::Blocked) => return None,
                 Err(Io::Starved) => {
                     self.starve(Source::Link(key));
-                    break;
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Asks, as an attempt's first byte would leave, whether it may. What may not is taken back, and its end reported.
+    fn may_begin(&mut self, key: LinkKey, attempt: AttemptKey) -> bool {
+        match self.reducer.permit(self.now(), attempt) {
+            Ok(permit) => {
+                self.links.begin(key, permit.limit_ms);
+                true
+            }
+            Err(reason) => {
+                trace_event!(self.now(), "attempt_withheld", attempt, reason = reason.key());
+                if reason.is_violation() {
+                    self.violated(Violation::Begin, format_args!("attempt {attempt}: {reason}"));
                 }
+                self.links.withhold(self.now(), key);
+                self.inbox.push(Input::Ended { attempt, end: End::Withheld(reason) });
+                false
             }
         }
-        None
     }
 
     pub(super) fn link_down(&mut self, key: LinkKey, why: EndpointClose) {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -8,6 +8,7 @@
 use frostturn::api::*;
 use frostturn::board::{Listed, Notice, Word};
 use frostturn::clock::UnixTime;
+use frostturn::reasons::Withheld;
 use frostturn::reducer::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -308,7 +309,7 @@
             }
             (5..=9, Some(attempt)) if check.tried[&attempt].written.is_none() => {
                 if check.tried[&attempt].leave_by < check.now {
-                    inputs.push(Input::Ended { attempt, end: End::Overdue });
+                    inputs.push(Input::Ended { attempt, end: End::Withheld(Withheld::TooLate) });
                     check.tried.entry(attempt).and_modify(|tried| {
                         (tried.unrun, tried.over) = (true, Some(check.now));
                     });
