Bring a drain and a shutdown to their end whatever clients go on sending

A shutdown refused what came and so brought the first kind to rest, but not the second: the exit cut it off.

Class: an end without a bound of its own, that waits for a peer.

Change: service::Intake, one value read off the state and the clock, whose steps only take away: Open, CloseAtRest, Refuse, Close; an end keeps the evacuation before it. runtime/drains.rs is the one place that closes by it, in place of three. At Close half-read requests are refused (front.rs cut_short), open ones refused where a repeat is harmless (gate.rs refusal_is_harmless), else failed, and the connection is closed as they have left. One that only waits for what came before 1.8 s may wait.

Probed before: the same client outlived an evacuation by 6 s.

--- a/src/front.rs
+++ b/src/front.rs
@@ -43,6 +43,8 @@
     Health(u64),
     /// The client has stopped waiting for it.
     Aborted(u64),
+    /// A request that is half there is turned away, as its connection is about to be closed.
+    CutShort(u64),
 }
 
 /// What has come of a request.
@@ -103,6 +105,8 @@
     holding: usize,
     thrown: usize,
     opened: Millis,
+    /// When the latest of its requests began to come.
+    latest: Option<Millis>,
     moved: Millis,
     deaf_ms: Millis,
     /// Some request has come whole, or was turned away.
@@ -229,6 +233,7 @@
             self.push(0, fastcgi::end(request, status::UNKNOWN_ROLE));
             return Ok(None);
         }
+        self.latest = Some(now);
         if self.open.len() >= MAX_OPEN || self.unwritten >= MAX_UNWRITTEN {
             self.push(0, fastcgi::end(request, status::OVERLOADED));
             return Ok(None);
@@ -330,9 +335,30 @@
         self.holding = 0;
     }
 
+    /// When the latest of its requests began to come, answered or not; `None`: nothing is owed on it.
+    pub fn latest(&self) -> Option<Millis> {
+        self.latest.filter(|_| !self.settled())
+    }
+
+    /// Turns away the requests that are half there: each is owed an answer, whatever still comes of it.
+    pub fn cut_short(&mut self) -> Vec<Heard> {
+        let mut cut = Vec::new();
+        for open in self.open.values_mut().filter(|open| open.coming()) {
+            let (params, body) = open.leave(Stage::TurnedAway);
+            self.holding -= params.len() + body.len();
+            cut.push(Heard::CutShort(open.serial));
+        }
+        cut
+    }
+
+    /// Whether nothing is owed on it any more: nothing is open or unwritten, though a record may be half there.
+    pub fn settled(&self) -> bool {
+        self.open.is_empty() && self.unwritten == 0
+    }
+
     /// Whether it could be closed now with nothing lost that has been read: nothing is open, half read or unwritten.
     pub fn at_rest(&self) -> bool {
-        self.open.is_empty() && self.unwritten == 0 && self.decoder.pending() == 0
+        self.settled() && self.decoder.pending() == 0
     }
 
     /// How it stands with the clock. A client is owed word or a close soon, and descriptors are few.
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -114,6 +114,8 @@
     Refusal {
         /// It was read after the router stopped taking requests.
         ShuttingDown: "shutting_down", "the router ends";
+        /// It was read on a connection that an evacuated router is about to close, or was open there as it did.
+        Draining: "draining", "the router is being emptied";
         /// As many requests are open as may be.
         TooManyOpen: "too_many_open", "too many requests are open";
         /// The bodies of open requests fill the memory that they may take.
--- a/src/reducer/gate.rs
+++ b/src/reducer/gate.rs
@@ -1,5 +1,6 @@
 //! The one place that decides whether an attempt may begin, at the last point where it can still be stopped: as its first
-//! byte would leave. It goes by the reducer's own state, whatever was decided before.
+//! byte would leave. It goes by the reducer's own state, whatever was decided before. Beside it, what a client may be told
+//! of a request that ends before its answer has come.
 
 use super::*;
 use crate::reasons::Withheld;
@@ -44,6 +45,16 @@
         }
     }
 
+    /// Whether a request may be called refused, which tells its client that a repeat does no harm.
+    pub(super) fn refusal_is_harmless(&self, held: &Held) -> bool {
+        let out = held.out.iter().filter_map(|key| self.out.get(key));
+        let mut begun = out.map(|out| out.progress != Progress::NotConnected);
+        match self.repeat_of(held) {
+            Repeat::Retryable | Repeat::Dedup { scope: DedupScope::All, .. } => true,
+            Repeat::Fragile | Repeat::Dedup { .. } => !held.may_have_run && !begun.any(|begun| begun),
+        }
+    }
+
     /// How a request's class may be repeated.
     fn repeat_of(&self, held: &Held) -> Repeat {
         let class = self.classes.get(&held.ask.class).and_then(|(at, _)| self.settings.classes.get(*at));
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -292,6 +292,11 @@
                 let open = self.open_on(conn);
                 open.into_iter().for_each(|client| self.fail(now, client, Failure::BadConnection));
             }
+            Input::CutShort { client } => self.cut_short(now, client),
+            Input::Closing { conn } => {
+                let open = self.open_on(conn);
+                open.into_iter().for_each(|client| self.give_up(now, client));
+            }
             Input::Progressed { attempt, progress } => {
                 if let Some(out) = self.out.get_mut(&attempt) {
                     out.progress = out.progress.max(progress);
@@ -374,18 +379,14 @@
         }
     }
 
-    /// Whether a client's connection with nothing open may be closed now.
-    pub fn closes_at_rest(&self, now: Millis) -> bool {
-        self.service.closes_at_rest(now)
-    }
-
     /// How long after SIGTERM there is time to answer.
     fn patience(&self) -> Millis {
         STILL_COMING_MS + self.longest_ms().min(LONGEST_MS) - BEFORE_KILL_MS
     }
 
     fn terminate(&mut self, now: Millis) {
-        if !self.service.end(now) {
+        // Answers are due in any case, but what comes in time is taken first.
+        if !self.service.end(now, self.patience().max(STILL_COMING_MS)) {
             return;
         }
         self.at(now + STILL_COMING_MS, Due::StopListening);
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -60,9 +60,9 @@
         };
         self.counters.taken += 1;
         self.counters.repeats += u64::from(ask.repeat);
-        if !self.service.takes_requests() {
-            // The process could end before its answer.
-            return self.decline(client, &ask.class, Refusal::ShuttingDown);
+        if let Some(reason) = self.service.refuses(now) {
+            // Its connection, or the process, could end before its answer.
+            return self.decline(client, &ask.class, reason);
         }
         let mut guard = now + ask.timeout_ms - age_ms.max(0.0) - GUARD_MS;
         if let Some(kill) = self.service.ending().map(|at| at + self.patience()) {
@@ -123,6 +123,31 @@
         self.effects.push(Effect::Answer { client, reply });
     }
 
+    /// Refuses a request that is half there, as its connection is about to be closed.
+    pub(super) fn cut_short(&mut self, now: Millis, client: Client) {
+        let reason = self.service.refuses(now).unwrap_or(Refusal::Draining);
+        self.counters.taken += 1;
+        self.counters.refused += 1;
+        self.counters.reasons.refusals.add(reason);
+        let reply = Reply::Refused { hold_off_ms: None, reason };
+        self.effects.push(Effect::Answer { client, reply });
+    }
+
+    /// Answers a request at once, as its connection is about to be closed: refused where a repeat is harmless, so that its
+    /// client may try elsewhere, else failed.
+    pub(super) fn give_up(&mut self, now: Millis, client: Client) {
+        let Some(held) = self.held.get(&client) else { return };
+        let id = held.id.clone();
+        let reason = self.service.refuses(now).unwrap_or(Refusal::Draining);
+        let reply = if self.refusal_is_harmless(held) {
+            Reply::Refused { hold_off_ms: None, reason }
+        } else {
+            Reply::Failed(Failure::GivenUp(reason))
+        };
+        self.events.push_back(Event::Dropped { id: id.clone() });
+        self.answer(now, &id, reply);
+    }
+
     /// Ends a request without an answer: its client is gone.
     pub(super) fn aborted(&mut self, now: Millis, client: Client) {
         let Some(held) = self.release(client) else { return };
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -141,6 +141,16 @@
         /// The connection.
         conn: u64,
     },
+    /// A request that was half there is turned away, as its connection is about to be closed.
+    CutShort {
+        /// Whose.
+        client: Client,
+    },
+    /// A client's connection is about to be closed: what is open on it is to be answered now.
+    Closing {
+        /// The connection.
+        conn: u64,
+    },
     /// An attempt has come further.
     Progressed {
         /// Which.
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -23,12 +23,13 @@
 const ACCEPT_PAUSE_MS: Millis = 20.0;
 
 /// What a client's connection has brought, for the reducer.
-fn heard_input(conn: u64, heard: front::Heard) -> Input {
+pub(super) fn heard_input(conn: u64, heard: front::Heard) -> Input {
     let client = |serial| Client { conn, serial };
     match heard {
         front::Heard::Asked(serial, ask, age_ms) => Input::Asked { client: client(serial), ask, age_ms },
         front::Heard::Health(serial) => Input::Health { client: client(serial) },
         front::Heard::Aborted(serial) => Input::Aborted { client: client(serial) },
+        front::Heard::CutShort(serial) => Input::CutShort { client: client(serial) },
     }
 }
 
@@ -132,11 +133,9 @@
     /// Looks for clients that are silent, deaf or gone, and for requests that should have been whole by now.
     pub(super) fn sweep(&mut self, now: Millis) {
         let (mut over, mut idle) = (Vec::new(), Vec::new());
-        let drains = self.reducer.closes_at_rest(now);
         for (key, (_, conn)) in &mut self.fronts {
             let before = conn.holding();
             match conn.standing(now) {
-                Standing::Good if drains && conn.at_rest() => idle.push((*key, ClientClose::Draining)),
                 Standing::Good => {}
                 Standing::Over(reason) if conn.at_rest() => idle.push((*key, reason)),
                 Standing::Over(reason) => over.push((*key, reason)),
@@ -166,13 +165,9 @@
         if let Some(over) = self.read_front(key).or_else(|| self.write_front(key)) {
             return self.end_front(key, over);
         }
-        // One that is never at rest for long is closed as its last answer has left.
-        let drains = self.reducer.closes_at_rest(self.now());
-        let Some((_, conn)) = self.fronts.get(&key) else { return };
-        match conn.over() {
-            Some(reason) => self.close_front(key, reason),
-            None if drains && conn.at_rest() => self.close_front(key, ClientClose::Draining),
-            None => {}
+        let over = self.fronts.get(&key).and_then(|(_, conn)| conn.over());
+        if let Some(reason) = over {
+            self.close_front(key, reason);
         }
     }
 
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -1,11 +1,15 @@
-//! What the log says of the service's states, of how an evacuation goes on, and of rules that were broken.
+//! Clients' connections while the router is emptied or ends: closed at rest, or, where they never come to rest, answered and
+//! closed in time. What is done when is [`Service::intake`]'s to say; this is the one place that carries it out.
 //!
-//! It only observes: what an evacuation does to a connection is decided elsewhere.
+//! Beside it, what the log says of the service's states and of rules that were broken.
 
-use super::Runtime;
+use super::clients::heard_input;
+use super::{Runtime, Source};
 use crate::api::Millis;
-use crate::reasons::Violation;
-use crate::service::{Service, RECENT_MS};
+use crate::front::Conn;
+use crate::reasons::{ClientClose, Violation};
+use crate::reducer::Input;
+use crate::service::{Intake, Service, RECENT_MS};
 use crate::{say, trace_event};
 use std::fmt;
 
@@ -13,6 +17,47 @@
 const TELL_MS: Millis = 1000.0;
 
 impl Runtime {
+    /// Closes the connections whose time has come.
+    pub(super) fn drain_clients(&mut self) {
+        let now = self.now();
+        if self.reducer.service().intake(now) == Intake::Open {
+            return;
+        }
+        let ends = |conn: &Conn| conn.at_rest() || self.reducer.service().closes_busy(now, conn.latest());
+        let ending = self.fronts.iter().filter(|(_, (_, conn))| ends(conn));
+        let ending: Vec<u64> = ending.map(|(key, _)| *key).collect();
+        ending.into_iter().for_each(|key| self.drain_client(key));
+        self.work();
+    }
+
+    /// Closes a connection, at rest or not, once what has come on it is read and answered.
+    fn drain_client(&mut self, key: u64) {
+        if let Some(over) = self.read_unheard(key) {
+            return self.end_front(key, over);
+        }
+        let now = self.now();
+        let Some((_, conn)) = self.fronts.get_mut(&key) else { return };
+        if !self.reducer.service().closes_busy(now, conn.latest()) {
+            return match conn.at_rest() {
+                true => self.close_front(key, ClientClose::Draining),
+                false => drop(self.dirty.insert(Source::Front(key))), // Something has just come.
+            };
+        }
+        let before = conn.holding();
+        let cut_short = conn.cut_short();
+        self.coming = self.coming + conn.holding() - before;
+        self.inbox.extend(cut_short.into_iter().map(|heard| heard_input(key, heard)));
+        self.inbox.push(Input::Closing { conn: key });
+        self.work();
+        if let Some(over) = self.write_front(key) {
+            return self.end_front(key, over);
+        }
+        // A client that reads slowly is waited for; what it asks meanwhile is refused.
+        if self.fronts.get(&key).is_some_and(|(_, conn)| conn.settled()) {
+            self.close_front(key, ClientClose::Draining);
+        }
+    }
+
     /// Tells of a change of state, with what is open then.
     pub(super) fn tell_service(&mut self, before: Service) {
         let after = self.reducer.service();
@@ -40,7 +85,7 @@
     /// Counts the clients that an evacuated router should have let go of by now.
     pub(super) fn audit_drain(&mut self) {
         let now = self.now();
-        let recent = |conn: &crate::front::Conn| conn.open_after(now - RECENT_MS);
+        let recent = |conn: &Conn| conn.open_after(now - RECENT_MS);
         let held = self.fronts.iter().filter(|(_, (_, conn))| conn.open() == 0 || recent(conn) > 0);
         let held: Vec<(u64, usize, usize)> =
             held.map(|(key, (_, conn))| (*key, recent(conn), conn.unwritten())).collect();
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -24,6 +24,10 @@
         Input::Aborted { client } => {
             trace_event!(now, "request_aborted", client = client.conn, serial = client.serial);
         }
+        Input::CutShort { client } => {
+            trace_event!(now, "request_cut_short", client = client.conn, serial = client.serial);
+        }
+        Input::Closing { conn } => trace_event!(now, "client_closing", client = conn),
         Input::Ended { attempt, end } => {
             let how = match end {
                 End::Answer(answer) => format!("{:?}", answer.outcome),
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -338,19 +338,6 @@
         self.exit_by.is_some_and(|by| self.now() >= by || closed())
     }
 
-    /// At the end, once nothing is owed: connections at rest are closed, each once what has come on it is read. One on
-    /// which a request is half there is waited for: its client could write the last byte before it hears of the close.
-    /// It is answered as it is whole, or as it is late.
-    fn close_all(&mut self) {
-        if self.exit_by.is_none() || self.reducer.open() > 0 {
-            return;
-        }
-        let resting = self.fronts.iter().filter(|(_, (_, conn))| conn.at_rest());
-        let resting: Vec<u64> = resting.map(|(key, _)| *key).collect();
-        resting.into_iter().for_each(|key| self.rest_front(key, ClientClose::Draining));
-        self.work();
-    }
-
     /// When the loop is to wake up at the latest.
     fn wake(&self) -> Millis {
         if !self.dirty.is_empty() {
@@ -360,7 +347,8 @@
         let seat = self.seat.as_ref().and_then(fleet::Seat::due_in).map(|wait| self.now() + wait);
         let (links, lingering) = (self.links.next_due(), self.lingering_due());
         let handover = self.handover.as_ref().map(|handover| self.now() + handover.due_in());
-        let own = [handover, self.accept_from, self.exit_by, self.starved_until, self.reload_at];
+        let intake = self.reducer.service().next_intake(self.now());
+        let own = [intake, handover, self.accept_from, self.exit_by, self.starved_until, self.reload_at];
         let dues = [self.reducer.next_due(), links, board, seat, lingering].into_iter().chain(own);
         dues.flatten().fold(f64::INFINITY, f64::min)
     }
@@ -429,7 +417,7 @@
             self.take_state();
             self.work();
         }
-        self.close_all();
+        self.drain_clients();
     }
 
     /// The socket of a source, if it has one of its own.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -1,30 +1,74 @@
 //! A router's service as one pure state machine: what it owes to clients and operators in each state.
 //!
 //! Owns the state; sockets, requests and machines are others'. Each input gives the next state, and what follows
-//! (whether it is ready, whether a connection at rest may be closed) is read off it.
+//! (whether it is ready, what becomes of a client's connection) is read off it.
 //!
-//! | state | `/alive`, `/api/ready` | new connections | connections at rest |
+//! | state | `/alive`, `/api/ready` | new connections | requests and connections ([`Intake`]) |
 //! | --- | --- | --- | --- |
-//! | starting, no machine known | no | taken | kept |
-//! | serving | yes | taken | kept |
-//! | evacuating | no | taken: they come until the front has heard of it | closed after a moment |
-//! | ending | no | taken for a while | kept: requests still come on them |
-//! | shut | no | not taken; what still comes on old ones is refused and sent nowhere | closed at once |
+//! | starting, no machine known | no | taken | taken and kept |
+//! | serving | yes | taken | taken and kept |
+//! | evacuating | no | taken: they come until the front has heard of it | by the age of the call, [`Intake`] in its order |
+//! | ending | no | taken for a while | taken and kept, or as the evacuation before it has it |
+//! | shut | no | not taken | refused, and closed at rest; later what is left is answered and closed |
+//!
+//! Each state that is to be left empty has a time by which it is, whatever clients do: none waits for a rest that a client
+//! need not grant.
 
 mod exclusions;
 
 use crate::api::Millis;
+use crate::reasons::Refusal;
 pub use exclusions::{Exclusions, TooMany, MOST};
 
 /// The front has heard a no by then, and clients bring nothing new: what is at rest may be closed.
 const HEARD_MS: Millis = 500.0;
-
+/// From then on an evacuated router refuses what comes, so that a connection that is never at rest becomes so. What came
+/// before is over [`RECENT_MS`] old by the end of the drain.
+const REFUSE_MS: Millis = 1800.0;
+/// From then on an evacuated router closes the connections on which requests still come.
+const CLOSE_MS: Millis = 3500.0;
 /// So long after an evacuation no client's connection may be idle, or carry a request that came within the last
 /// [`RECENT_MS`] (the operators' page of days, "Draining a request router").
 pub const DRAINED_BY_MS: Millis = 4000.0;
 /// See [`DRAINED_BY_MS`].
 pub const RECENT_MS: Millis = 2000.0;
 
+/// What is done with requests that come, and with clients' connections; each step takes more away than the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Intake {
+    /// Requests are taken, connections are kept.
+    Open,
+    /// Requests are taken; a connection at rest is closed.
+    CloseAtRest,
+    /// Requests are refused as they come; a connection at rest is closed.
+    Refuse,
+    /// What is open on a connection is answered, what is half read on it is refused, and it is closed.
+    Close,
+}
+
+impl Intake {
+    /// What an evacuation so long ago has come to.
+    fn of_evacuation(age_ms: Millis) -> Self {
+        match age_ms {
+            age if age >= CLOSE_MS => Self::Close,
+            age if age >= REFUSE_MS => Self::Refuse,
+            age if age >= HEARD_MS => Self::CloseAtRest,
+            _ => Self::Open,
+        }
+    }
+}
+
+/// An end that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct End {
+    /// When it was.
+    at: Millis,
+    /// By then all is answered, and connections are closed.
+    close_at: Millis,
+    /// Since when it was evacuated before: that goes on.
+    evacuated: Option<Millis>,
+}
+
 /// Where a router stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Service {
@@ -33,10 +77,10 @@
     Serving,
     /// Operators have it emptied, since then.
     Evacuating(Millis),
-    /// It was told to end, at that time.
-    Ending(Millis),
-    /// It was told to end at that time, and takes nothing more.
-    Shut(Millis),
+    /// It was told to end.
+    Ending(End),
+    /// It was told to end, and takes nothing more.
+    Shut(End),
 }
 
 impl Service {
@@ -57,53 +101,86 @@
         true
     }
 
-    /// It is told to end; false if it was before.
-    pub fn end(&mut self, now: Millis) -> bool {
-        let first = self.ending().is_none();
-        if first {
-            *self = Self::Ending(now);
-        }
-        first
+    /// It is told to end, with so long to answer what is open; false if it was before.
+    pub fn end(&mut self, now: Millis, patience_ms: Millis) -> bool {
+        let evacuated = match self {
+            Self::Serving => None,
+            Self::Evacuating(since) => Some(*since),
+            Self::Ending(_) | Self::Shut(_) => return false,
+        };
+        *self = Self::Ending(End { at: now, close_at: now + patience_ms, evacuated });
+        true
     }
 
     /// All that came in time has been taken: nothing more is. Only one that ends is shut.
     pub fn shut(&mut self) {
         match self {
-            Self::Ending(at) => *self = Self::Shut(*at),
+            Self::Ending(end) => *self = Self::Shut(*end),
             Self::Serving | Self::Evacuating(_) | Self::Shut(_) => {}
         }
     }
 
-    /// Whether a request that is read now may be sent on.
-    pub fn takes_requests(&self) -> bool {
+    /// What is done now with what comes. An end takes nothing back of an evacuation.
+    pub fn intake(&self, now: Millis) -> Intake {
+        let evacuation = self.evacuated().map_or(Intake::Open, |since| Intake::of_evacuation(now - since));
         match self {
-            Self::Serving | Self::Evacuating(_) | Self::Ending(_) => true,
-            Self::Shut(_) => false,
+            Self::Serving | Self::Evacuating(_) | Self::Ending(_) => evacuation,
+            Self::Shut(end) if now >= end.close_at => Intake::Close,
+            Self::Shut(_) => evacuation.max(Intake::Refuse),
         }
     }
 
-    /// Since when operators have it emptied, if they do.
-    pub fn evacuated(&self) -> Option<Millis> {
+    /// When the intake changes next by the clock alone.
+    pub fn next_intake(&self, now: Millis) -> Option<Millis> {
+        let evacuation = [HEARD_MS, REFUSE_MS, CLOSE_MS];
+        let steps = self.evacuated().into_iter().flat_map(|since| evacuation.map(|step| since + step));
+        let close_at = match self {
+            Self::Shut(end) => Some(end.close_at),
+            Self::Serving | Self::Evacuating(_) | Self::Ending(_) => None,
+        };
+        steps.chain(close_at).filter(|at| *at > now).reduce(f64::min)
+    }
+
+    /// Why a request that is read now is refused, if it is.
+    pub fn refuses(&self, now: Millis) -> Option<Refusal> {
+        if self.intake(now) < Intake::Refuse {
+            return None;
+        }
         match self {
-            Self::Evacuating(since) => Some(*since),
-            Self::Serving | Self::Ending(_) | Self::Shut(_) => None,
+            Self::Shut(_) => Some(Refusal::ShuttingDown),
+            Self::Serving | Self::Evacuating(_) | Self::Ending(_) => Some(Refusal::Draining),
         }
     }
 
-    /// Its name in log lines.
-    pub fn key(&self) -> &'static str {
+    /// Whether a connection that is not at rest is closed now, given when the latest of its requests began to come (`None`:
+    /// nothing is owed on it, but half a record has come). One on which nothing has come since an evacuated router refuses
+    /// requests may wait for its answers.
+    pub fn closes_busy(&self, now: Millis, latest: Option<Millis>) -> bool {
+        if self.intake(now) < Intake::Close {
+            return false;
+        }
         match self {
-            Self::Serving => "serving",
-            Self::Evacuating(_) => "evacuating",
-            Self::Ending(_) => "ending",
-            Self::Shut(_) => "shut",
+            Self::Shut(end) if now >= end.close_at => true,
+            Self::Serving | Self::Evacuating(_) | Self::Ending(_) | Self::Shut(_) => {
+                let refused_from = self.evacuated().map_or(0.0, |since| since + REFUSE_MS);
+                latest.is_none_or(|latest| latest >= refused_from)
+            }
+        }
+    }
+
+    /// Since when operators have it emptied, if they do.
+    pub fn evacuated(&self) -> Option<Millis> {
+        match self {
+            Self::Serving => None,
+            Self::Evacuating(since) => Some(*since),
+            Self::Ending(end) | Self::Shut(end) => end.evacuated,
         }
     }
 
     /// Since when it ends.
     pub fn ending(&self) -> Option<Millis> {
         match self {
-            Self::Ending(at) | Self::Shut(at) => Some(*at),
+            Self::Ending(end) | Self::Shut(end) => Some(end.at),
             Self::Serving | Self::Evacuating(_) => None,
         }
     }
@@ -113,12 +190,13 @@
         *self == Self::Serving
     }
 
-    /// Whether a client's connection with nothing open may be closed now.
-    pub fn closes_at_rest(&self, now: Millis) -> bool {
+    /// Its name in log lines.
+    pub fn key(&self) -> &'static str {
         match self {
-            Self::Evacuating(since) => now - since >= HEARD_MS,
-            Self::Shut(_) => true,
-            Self::Serving | Self::Ending(_) => false,
+            Self::Serving => "serving",
+            Self::Evacuating(_) => "evacuating",
+            Self::Ending(_) => "ending",
+            Self::Shut(_) => "shut",
         }
     }
 }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -232,7 +232,7 @@
             }
             Act::Terminate => {
                 let mut service = Service::default();
-                assert!(service.takes_clients() && service.end(1.0) && !service.takes_clients());
+                assert!(service.takes_clients() && service.end(1.0, 1000.0) && !service.takes_clients());
                 world.processes[0].phase = Phase::Ending;
             }
             Act::Exit(at) | Act::Die(at) => {
