Soak emptied, ended and killed routers under clients that never stop, and test its first find

Cause: front.rs Conn::receive returns at the fault and drops the requests that it had read whole from the same bytes. They stay open without anybody to answer them, so that the connection is held until the process ends.

--- a/crates/frostturn-lab/src/clients.rs
+++ b/crates/frostturn-lab/src/clients.rs
@@ -185,7 +185,7 @@
 }
 
 /// The class of a request, by a number drawn evenly from 0 to 1.
-fn draw_class(draw: f64) -> usize {
+pub fn draw_class(draw: f64) -> usize {
     let mut below = 0.0;
     let at = CLASSES.iter().position(|class| {
         below += class.share;
@@ -336,12 +336,17 @@
 
 /// The bytes of a request.
 fn request(number: u16, class: &Class, id: u64, object: u64) -> Vec<u8> {
+    request_within(class.patience_ms, number, class, id, object)
+}
+
+/// The same, of a client that waits so long.
+pub fn request_within(patience_ms: f64, number: u16, class: &Class, id: u64, object: u64) -> Vec<u8> {
     let (mut out, mut params) = (Vec::new(), Vec::new());
     fastcgi::record(&mut out, kind::BEGIN, number, &[0, 1, 1, 0, 0, 0, 0, 0]);
     let mut pair = |name: &str, value: String| fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
     pair("SCRIPT_NAME", format!("/ops/{}", class.name));
     pair("HTTP_X_REQUEST_ID", format!("{id:016x}"));
-    pair("HTTP_X_TIMEOUT_MS", format!("{:.0}", class.patience_ms));
+    pair("HTTP_X_TIMEOUT_MS", format!("{patience_ms:.0}"));
     if class.object {
         pair("HTTP_X_OBJECT", format!("{object:016x}"));
         pair("HTTP_X_CHUNK", "0".to_owned());
@@ -381,11 +386,11 @@
     }
 }
 
-fn answered(sent: &Sent, end: &[u8], world: &World, load: &Mutex<Load>) {
-    let now = world.now();
-    let text = String::from_utf8_lossy(&sent.head[..sent.head.len().min(400)]);
+/// What an answer says, by its STDOUT bytes and its END_REQUEST.
+pub fn read_answer(head: &[u8], end: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(&head[..head.len().min(400)]);
     let status = text.strip_prefix("Status: ").and_then(|rest| rest.get(..3)).unwrap_or_default();
-    let answer = match status {
+    match status {
         "200" => {
             let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
             Answer::Served { stamp_ms: body.lines().next().and_then(|line| line.parse().ok()).unwrap_or(0.0) }
@@ -393,7 +398,12 @@
         "429" | "503" => Answer::Refused,
         _ if end.get(4) == Some(&fastcgi::status::OVERLOADED) => Answer::Refused,
         _ => Answer::Failed,
-    };
+    }
+}
+
+fn answered(sent: &Sent, end: &[u8], world: &World, load: &Mutex<Load>) {
+    let now = world.now();
+    let answer = read_answer(&sent.head, end);
     world.seen().checker.answered(sent.id, now, answer);
     let earned = matches!(answer, Answer::Served { .. }) && now - sent.at <= CLASSES[sent.class].aim_ms;
     lock(load).times.push((sent.at, CLASSES[sent.class].worth, earned));
--- a/crates/frostturn-lab/src/machines.rs
+++ b/crates/frostturn-lab/src/machines.rs
@@ -139,6 +139,8 @@
     lately: Mutex<VecDeque<Millis>>,
     /// When it last started cold, in whole milliseconds; 0: long ago.
     started: AtomicU64,
+    /// How long each of its answers waits beside the others, in milliseconds; 0: they come in turn, at once.
+    wait_ms: AtomicU64,
     /// Its kind, as the board names it.
     pub kind: &'static str,
     world: Arc<World>,
@@ -172,6 +174,7 @@
             purged: Mutex::default(),
             lanes: Mutex::default(),
             started: AtomicU64::new(0),
+            wait_ms: AtomicU64::new(0),
             kind,
             world: world.clone(),
         });
@@ -195,6 +198,21 @@
         self.purged.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).insert(object, made_unix_ms);
     }
 
+    /// Each answer waits so long from now on, beside the others.
+    pub fn wait(&self, wait_ms: u64) {
+        self.wait_ms.store(wait_ms, Ordering::SeqCst);
+    }
+
+    /// Writes an answer after a wait, in whatever order with others.
+    fn answer_later(&self, stream: &Socket, lock: &Arc<Mutex<()>>, answer: Vec<u8>, wait_ms: u64) {
+        let (Ok(mut stream), lock) = (stream.try_clone(), lock.clone()) else { return };
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(wait_ms));
+            let _whole = lock.lock();
+            let _ = stream.write_all(&answer); // The router may have closed it.
+        });
+    }
+
     /// Started anew, it holds nothing and is cold.
     pub fn forget(&self) {
         self.started.store(self.world.now().max(1.0) as u64, Ordering::SeqCst);
@@ -278,6 +296,7 @@
         let reset = |stream: &Socket| drop(stream.set_linger(Some(Duration::ZERO)));
         let (mut decoder, mut buffer, mut first) = (Decoder::default(), vec![0; 64 * 1024], true);
         let (mut begun, usurped) = (None, way.failure() == Failure::WrongName);
+        let write_lock = Arc::new(Mutex::new(()));
         while !self.world.over() {
             let failure = way.failure();
             if (failure == Failure::WrongName) != usurped {
@@ -338,8 +357,16 @@
                             std::mem::take(&mut first),
                             wrong,
                         );
-                        out.extend(self.answer(id, fields, body));
-                        self.take_time();
+                        let answer = self.answer(id, fields, body);
+                        match self.wait_ms.load(Ordering::SeqCst) {
+                            wait_ms if wait_ms > 0 && failure == Failure::None => {
+                                self.answer_later(&stream, &write_lock, answer, wait_ms);
+                            }
+                            _ => {
+                                out.extend(answer);
+                                self.take_time();
+                            }
+                        }
                     }
                     _ => {}
                 }
@@ -361,6 +388,7 @@
                 }
                 _ => {}
             }
+            let _whole = write_lock.lock();
             if stream.write_all(&out).is_err() {
                 return;
             }
--- a/crates/frostturn-lab/src/rig.rs
+++ b/crates/frostturn-lab/src/rig.rs
@@ -107,6 +107,7 @@
             name: &slot.name,
             instances,
             beside: Some(Beside { listen, number }),
+            deadline_scale: 1.0,
             environment: &self.site.environment,
         };
         let new = if wait { Daemon::start(&start)? } else { Daemon::spawn(&start)? };
--- a/crates/frostturn-lab/src/scenarios/fleet_cost.rs
+++ b/crates/frostturn-lab/src/scenarios/fleet_cost.rs
@@ -84,6 +84,7 @@
             name: "n0",
             instances: ROUTERS,
             beside: None,
+            deadline_scale: 1.0,
             environment: &site.environment,
         })
     };
--- a/crates/frostturn-lab/src/scenarios/service.rs
+++ b/crates/frostturn-lab/src/scenarios/service.rs
@@ -96,6 +96,7 @@
             name,
             instances: 1,
             beside,
+            deadline_scale: 1.0,
             environment,
         };
         if spawn {
--- /dev/null
+++ b/crates/frostturn-lab/src/scenarios/soak/mod.rs
@@ -0,0 +1,350 @@
+//! Routers that are emptied, told to end and killed at the earliest time that the pages allow, in any order and with other
+//! signals between, while clients go on sending on every open connection and endpoints hang, reset and leave.
+//!
+//! Judged from outside: each request has its one answer, nobody is connected to a router past its drain, nothing is sent to
+//! an endpoint that leaves; and by the routers' own count of violations.
+
+mod clients;
+mod schedule;
+
+use super::Options;
+use crate::check::{Millis, Verdict};
+use crate::clients::CLASSES;
+use crate::daemon::{call, Beside, Daemon, Start};
+use crate::report::{Bound, Report};
+use crate::site::{Site, Status};
+use clients::{lock, Clients, Reach, HABITS};
+use frostturn::ops::control::Answer;
+use frostturn::ops::Call;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use schedule::{Act, Schedule, BOXES, LOAD_MS, ROUTERS};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// The front makes no new connection from then on, after a no or a SIGTERM.
+const LEFT_MS: Millis = 300.0;
+/// So long after an evacuation it is looked at who is still connected, and which requests are recent then.
+const AUDIT_MS: Millis = 4050.0;
+const RECENT_MS: Millis = 2000.0;
+/// SIGKILL comes so long after the longest deadline, which counts as this at most.
+const KILL_MORE_MS: Millis = 700.0;
+const LONGEST_MS: Millis = 3000.0;
+/// A request that gets its answer so much late only earns nothing.
+const GRACE_MS: Millis = 500.0;
+/// A router takes clients again so soon after its drain.
+const READY_MS: Millis = 2000.0;
+const CROWD: usize = 150;
+
+/// What is done later because of something that was done.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Later {
+    FrontLeaves(usize),
+    Audit(usize),
+    Kill(usize),
+    ReadyBy(usize),
+}
+
+/// One router's processes.
+struct Slot {
+    current: Option<Daemon>,
+    /// Told to end, and not the current one any more.
+    ending: Option<Daemon>,
+    /// It is told to end already, so that a second signal moves no kill.
+    told: bool,
+    evacuated_at: Option<Millis>,
+    processes: usize,
+}
+
+#[derive(Default)]
+struct Figures {
+    held: u64,
+    killed: u64,
+    bad_ends: u64,
+    not_ready: u64,
+    evacuations: u64,
+    ends: u64,
+    examples: Vec<String>,
+    logs: Vec<PathBuf>,
+}
+
+struct Run {
+    site: Site,
+    options: Options,
+    schedule: Schedule,
+    clients: Arc<Clients>,
+    slots: Vec<Slot>,
+    later: Vec<(Millis, Later)>,
+    crowd: Vec<TcpStream>,
+    figures: Figures,
+}
+
+/// Plays it.
+pub fn run(options: &Options) -> Result<Report, String> {
+    let schedule = Schedule::draw(options.seed);
+    let site = Site::start(BOXES, &options.setup())?;
+    site.world.seen().checker.grant(GRACE_MS);
+    for (one, wait_ms) in site.boxes.iter().zip(&schedule.waits_ms) {
+        one.wait(*wait_ms);
+    }
+    let clients = Arc::new(Clients {
+        world: site.world.clone(),
+        routers: (0..ROUTERS).map(|_| Mutex::new(Reach::default())).collect(),
+        sessions: Mutex::default(),
+        deadline_scale: schedule.deadline_scale,
+        until: site.world.now() + LOAD_MS,
+    });
+    let mut run = Run {
+        site,
+        options: options.clone(),
+        schedule,
+        clients,
+        slots: Vec::new(),
+        later: Vec::new(),
+        crowd: Vec::new(),
+        figures: Figures::default(),
+    };
+    run.start_routers()?;
+    let load = run.start_clients();
+    run.play()?;
+    load.into_iter().for_each(|client| drop(client.join())); // A panic there has printed itself.
+    Ok(run.finish())
+}
+
+impl Run {
+    fn now(&self) -> Millis {
+        self.site.world.now()
+    }
+
+    fn spawn(&mut self, router: usize, listen: SocketAddr) -> Result<Daemon, String> {
+        let number = (router + 1) * 100 + self.slots.get(router).map_or(0, |slot| slot.processes);
+        let name = format!("n{router}");
+        let daemon = Daemon::spawn(&Start {
+            dir: &self.site.dir,
+            program: self.options.daemon.as_deref(),
+            operator: None,
+            board: self.site.board.address,
+            known: self.site.board.known(),
+            seed: self.options.seed.wrapping_add(number as u64),
+            name: &name,
+            instances: ROUTERS,
+            beside: Some(Beside { listen, number }),
+            deadline_scale: self.schedule.deadline_scale,
+            environment: &self.site.environment,
+        })?;
+        self.figures.logs.push(daemon.log.clone());
+        Ok(daemon)
+    }
+
+    fn start_routers(&mut self) -> Result<(), String> {
+        for router in 0..ROUTERS {
+            let daemon = self.spawn(router, self.site.world.own.any())?;
+            let (ending, told, evacuated_at) = (None, false, None);
+            self.slots.push(Slot { current: Some(daemon), ending, told, evacuated_at, processes: 1 });
+        }
+        for (slot, reach) in self.slots.iter_mut().zip(&self.clients.routers) {
+            let Some(daemon) = &mut slot.current else { continue };
+            daemon.until_ready(true)?;
+            *lock(reach) = Reach { address: Some(daemon.address), welcomes: true, killed_at: None };
+        }
+        Ok(())
+    }
+
+    fn start_clients(&self) -> Vec<thread::JoinHandle<()>> {
+        let mut rng = StdRng::seed_from_u64(self.options.seed);
+        let mut all = Vec::new();
+        for router in 0..ROUTERS {
+            for habit in HABITS {
+                let (clients, seed) = (self.clients.clone(), rng.next_u64());
+                all.push(thread::spawn(move || clients.run(router, habit, seed)));
+            }
+        }
+        all
+    }
+
+    fn play(&mut self) -> Result<(), String> {
+        let start = self.now();
+        let mut steps = self.schedule.steps.clone().into_iter().peekable();
+        while steps.peek().is_some() || !self.later.is_empty() {
+            if let Some((_, act)) = steps.next_if(|(at, _)| start + at <= self.now()) {
+                self.act(act)?;
+            }
+            let now = self.now();
+            while let Some(due) = self.later.iter().position(|(at, _)| *at <= now) {
+                let (_, what) = self.later.swap_remove(due);
+                self.do_later(what);
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, act: Act) -> Result<(), String> {
+        let now = self.now();
+        self.site.world.event(|| format!("act {act:?}"));
+        match act {
+            Act::Evacuate(router) => {
+                if self.call(router, &Call::Evacuate) {
+                    self.figures.evacuations += 1;
+                    self.slots[router].evacuated_at = Some(now);
+                    self.later.push((now + LEFT_MS, Later::FrontLeaves(router)));
+                    self.later.push((now + AUDIT_MS, Later::Audit(router)));
+                }
+            }
+            Act::Rejoin(router) => {
+                if self.call(router, &Call::Rejoin) {
+                    self.slots[router].evacuated_at = None;
+                    lock(&self.clients.routers[router]).welcomes = true;
+                    self.later.push((now + READY_MS, Later::ReadyBy(router)));
+                }
+            }
+            Act::StartBeside(router) => {
+                let Some(listen) = self.slots[router].current.as_ref().map(|one| one.address) else {
+                    return Ok(());
+                };
+                let mut new = self.spawn(router, listen)?;
+                new.until_ready(true)?;
+                let slot = &mut self.slots[router];
+                slot.processes += 1;
+                slot.ending = slot.current.replace(new);
+            }
+            Act::Terminate(router) => self.terminate(router),
+            Act::Reload(router) => self.told(router).iter().for_each(|daemon| daemon.reload()),
+            Act::Crowd(router) => {
+                let address = lock(&self.clients.routers[router]).address;
+                let one = || address.and_then(|at| TcpStream::connect_timeout(&at, CONNECT_PATIENCE).ok());
+                self.crowd.extend((0..CROWD).map_while(|_| one()));
+            }
+            Act::Fail(at, failure) => {
+                self.site.boxes[at].ways.iter().for_each(|way| way.fail(failure));
+            }
+            Act::Heal(at) => {
+                self.site.boxes[at].ways.iter().for_each(|way| way.fail(crate::machines::Failure::None));
+            }
+            Act::Leave(at) => self.site.tell(at, Status::Leaving, None),
+        }
+        Ok(())
+    }
+
+    /// The process that signals go to: the one that a new one stands beside, or the only one.
+    fn told(&self, router: usize) -> Option<&Daemon> {
+        let slot = &self.slots[router];
+        slot.ending.as_ref().or(slot.current.as_ref())
+    }
+
+    fn terminate(&mut self, router: usize) {
+        let now = self.now();
+        let Some(daemon) = self.told(router) else { return };
+        daemon.terminate();
+        let slot = &mut self.slots[router];
+        if std::mem::replace(&mut slot.told, true) {
+            return;
+        }
+        self.figures.ends += 1;
+        if slot.ending.is_none() {
+            self.later.push((now + LEFT_MS, Later::FrontLeaves(router)));
+        }
+        let longest = CLASSES.iter().map(|class| class.patience_ms).fold(0.0, f64::max);
+        let longest = (longest * self.schedule.deadline_scale).min(LONGEST_MS);
+        self.later.push((now + longest + KILL_MORE_MS, Later::Kill(router)));
+    }
+
+    fn do_later(&mut self, what: Later) {
+        self.site.world.event(|| format!("{what:?}"));
+        match what {
+            Later::FrontLeaves(router) => {
+                // It may have been called back since.
+                let slot = &self.slots[router];
+                let leaves = slot.evacuated_at.is_some() || (slot.told && slot.ending.is_none());
+                lock(&self.clients.routers[router]).welcomes &= !leaves;
+            }
+            Later::Audit(router) => self.audit(router),
+            Later::Kill(router) => self.kill(router),
+            Later::ReadyBy(router) => {
+                let slot = &self.slots[router];
+                if slot.evacuated_at.is_none() && !slot.told && !self.call(router, &Call::Ready) {
+                    self.figures.not_ready += 1;
+                }
+            }
+        }
+    }
+
+    /// Who is connected to an evacuated router that should not be.
+    fn audit(&mut self, router: usize) {
+        let now = self.now();
+        let since = self.slots[router].evacuated_at;
+        if since.is_none_or(|since| now < since + AUDIT_MS) {
+            return; // Called back, and perhaps emptied again, since.
+        }
+        let sessions = lock(&self.clients.sessions);
+        let held = sessions.iter().filter(|open| open.router == router);
+        let held: Vec<String> = held.filter_map(|open| open.is_held(now, RECENT_MS)).collect();
+        drop(sessions);
+        self.figures.held += held.len() as u64;
+        for one in held {
+            self.figures.examples.push(format!("held: router {router} at {now:.0} ms, {one}"));
+        }
+    }
+
+    fn kill(&mut self, router: usize) {
+        let now = self.now();
+        let slot = &mut self.slots[router];
+        let Some(mut daemon) = slot.ending.take().or_else(|| slot.current.take()) else { return };
+        if daemon.runs() {
+            lock(&self.clients.routers[router]).killed_at = Some(now);
+            daemon.kill();
+            self.figures.killed += 1;
+            self.figures.examples.push(format!("killed: router {router} at {now:.0} ms, it still ran"));
+        } else if !daemon.ended() {
+            self.figures.bad_ends += 1;
+        }
+    }
+
+    fn call(&mut self, router: usize, what: &Call) -> bool {
+        let ops = self.slots[router].current.as_ref().and_then(|daemon| daemon.ops);
+        ops.is_some_and(|ops| matches!(call(ops, what), Ok(Answer::Yes(_))))
+    }
+
+    fn finish(mut self) -> Report {
+        for slot in &mut self.slots {
+            for daemon in slot.current.take().into_iter().chain(slot.ending.take()) {
+                self.figures.bad_ends += u64::from(!daemon.end());
+            }
+        }
+        drop(std::mem::take(&mut self.crowd));
+        self.site.world.end();
+        let seen = self.site.world.take();
+        let Verdict { requests, served, refused, failed, rules, mut examples } = seen.checker.finish();
+        let mut violations = 0;
+        for log in &self.figures.logs {
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            let lines =
+                text.lines().filter(|line| line.contains("violation:") || line.contains("panic ends"));
+            let lines: Vec<String> = lines.map(str::to_owned).collect();
+            violations += lines.len();
+            examples.extend(lines);
+        }
+        let Figures { held, killed, bad_ends, not_ready, evacuations, ends, .. } = self.figures;
+        examples.extend(self.figures.examples);
+        println!("  {evacuations} evacuations, {ends} ends, {killed} of them by the kill");
+        let mut report = Report { scenario: "soak", seed: self.options.seed, ..Report::default() };
+        (report.requests, report.served) = (requests, served);
+        (report.refused, report.failed) = (refused, failed);
+        (report.rules, report.examples) = (rules, examples);
+        report.bounds = vec![
+            Bound::most("held_past_drain", held as f64, 0.0),
+            Bound::most("violations", violations as f64, 0.0),
+            Bound::most("bad_ends", bad_ends as f64, 0.0),
+            Bound::most("killed_running", killed as f64, 0.0),
+            Bound::most("not_ready_after_rejoin", not_ready as f64, 0.0),
+            Bound::least("evacuations_and_ends", (evacuations + ends) as f64, ROUTERS as f64),
+        ];
+        report
+    }
+}
+
+/// How long a client of a crowd waits for its connection.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
--- a/crates/frostturn-lab/src/site.rs
+++ b/crates/frostturn-lab/src/site.rs
@@ -145,6 +145,7 @@
             name: "lab",
             instances: 1,
             beside: None,
+            deadline_scale: 1.0,
             environment: &self.environment,
         })
     }
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -153,3 +153,18 @@
     assert_eq!(client.status(2), 200);
     router.end();
 }
+
+#[test]
+fn a_request_is_answered_though_what_comes_with_it_in_one_read_cannot_be_read() {
+    let endpoint = Endpoint::new();
+    let router = Router::start("onebreath", &Site::new(&[("e-1", &endpoint)]));
+    for junk in [&b"GET / HTTP/1.1\r\n\r\n"[..], &begun(2, 1, &[(kind::STDIN, vec![1; 9])])] {
+        let mut guilty = Client::connect(&router);
+        let both = [&Client::request(1, "page", 1, 1, b""), junk].concat();
+        guilty.stream.write_all(&both).expect("written");
+        assert_eq!(guilty.status(1), 502, "failed: nothing more is heard of its client");
+        assert!(guilty.closed(), "half-closed, not reset");
+    }
+    assert_eq!(rig::figure(&router.end(), "client_faults"), 2);
+    assert_eq!(endpoint.ids(), [""; 0], "nothing is sent for a client that is about to be let go of");
+}
