Give what a client asked before a fault on its connection to the reducer

Cause: Conn::receive (front.rs) returned at the fault with '?', and the requests that it had read whole from the same bytes were dropped. The connection waited for their answers, which nobody gave, until the process ended.

The endpoints' side (Links::receive) already gives back both; Conn::receive now does, too, and the runtime takes what was heard before it sees to the fault.

--- a/src/front.rs
+++ b/src/front.rs
@@ -128,11 +128,16 @@
         Self { deaf_ms: self.deaf_ms.max(longest_ms), ..self }
     }
 
-    /// Takes bytes in. After a fault the connection is to be closed.
-    pub fn receive(&mut self, now: Millis, bytes: &[u8]) -> Result<Vec<Heard>, Fault> {
+    /// Takes bytes in. What they bring holds also where a fault follows it; after a fault the connection is to be closed.
+    pub fn receive(&mut self, now: Millis, bytes: &[u8]) -> (Vec<Heard>, Option<Fault>) {
         self.moved = now;
         self.decoder.feed(bytes);
         let mut heard = Vec::new();
+        let fault = self.read_records(now, &mut heard).err();
+        (heard, fault)
+    }
+
+    fn read_records(&mut self, now: Millis, heard: &mut Vec<Heard>) -> Result<(), Fault> {
         while let Some(record) = self.decoder.next_record()? {
             let Some(one) = self.record(now, record)? else { continue };
             // Asked for and taken back in one breath: nobody else needs to know of it.
@@ -143,7 +148,7 @@
                 None => heard.push(one),
             }
         }
-        Ok(heard)
+        Ok(())
     }
 
     fn record(&mut self, now: Millis, record: Record) -> Result<Option<Heard>, Fault> {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -202,20 +202,18 @@
             };
             read += bytes;
             let before = conn.holding();
-            let heard = conn.receive(now, &self.buffer[..bytes]);
+            let (heard, fault) = conn.receive(now, &self.buffer[..bytes]);
             self.coming = self.coming + conn.holding() - before;
             let bytes = conn.taken_back();
             if bytes > 0 {
                 self.inbox.push(Input::Flushed { conn: key, bytes });
             }
-            match heard {
-                Ok(heard) => self.inbox.extend(heard.into_iter().map(|heard| heard_input(key, heard))),
-                Err(fault) => {
-                    self.reducer.counters.client_faults += 1;
-                    say!("a client's record can't be read: {fault:?}");
-                    self.finish_front(key, ClientClose::Unreadable);
-                    return None;
-                }
+            self.inbox.extend(heard.into_iter().map(|heard| heard_input(key, heard)));
+            if let Some(fault) = fault {
+                self.reducer.counters.client_faults += 1;
+                say!("a client's record can't be read: {fault:?}");
+                self.finish_front(key, ClientClose::Unreadable);
+                return None;
             }
             if self.coming > self.most_coming {
                 self.relieve();
