Test that a client that takes nothing is let go of though it goes on sending

Conn::standing calls a client deaf once nothing has moved on its connection for 6 s, and counts what it sends as movement: one that reads nothing and sends now and then is never let go of, in service or in a drain, which waits for its unwritten bytes.

Seen to fail without the fix: 'still held at 59900', the last time that the test looks at.

--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -5,7 +5,7 @@
 use frostturn::back::{Heard as Back, Links, Unsent};
 use frostturn::fastcgi::{self, kind, Decoder, Fault, Record};
 use frostturn::front::{Conn, Heard, Standing};
-use frostturn::reasons::{AttemptCause, ClientClose, EndpointClose};
+use frostturn::reasons::{AttemptCause, ClientClose, EndpointClose, Refusal};
 use frostturn::reducer::{Ask, Call, Failure, Progress, Reply};
 use frostturn::resp;
 use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
@@ -286,6 +286,25 @@
     }
 }
 
+#[test]
+fn a_client_that_takes_nothing_is_let_go_of_though_it_goes_on_sending() {
+    let mut conn = Conn::new(0.0);
+    whole(conn.receive(0.0, &asking(1, "/ops/page", ID, b""))).expect("well-formed");
+    assert!(conn.answer(1, &Reply::Served(vec![7; 1000])));
+    conn.wrote(100.0, 10);
+    let mut last_good = 100.0;
+    for serial in 2..300 {
+        let at = 100.0 + 200.0 * serial as f64;
+        whole(conn.receive(at, &asking(2, "/ops/page", ID, b""))).expect("well-formed");
+        assert!(conn.answer(serial, &Reply::Refused { hold_off_ms: None, reason: Refusal::Draining }));
+        if conn.standing(at) != Standing::Good {
+            break;
+        }
+        last_good = at;
+    }
+    assert!((6000.0..6400.0).contains(&last_good), "still held at {last_good}");
+}
+
 #[test]
 fn a_client_that_is_silent_half_done_deaf_or_gone_is_told_from_one_that_awaits_an_answer() {
     assert_eq!(Conn::new(1000.0).standing(2900.0), Standing::Good);
