Count a client as deaf by what it takes, not by what it sends

Cause: Conn::standing (front.rs) measured deafness from the last movement in either direction.

Change: Conn::taken, when the client last took bytes or was owed none. The bound of 6 s, or the longest deadline, is as before.

--- a/src/front.rs
+++ b/src/front.rs
@@ -108,6 +108,8 @@
     /// When the latest of its requests began to come.
     latest: Option<Millis>,
     moved: Millis,
+    /// When its client last took something of what it is owed, or was owed nothing.
+    taken: Millis,
     deaf_ms: Millis,
     /// Some request has come whole, or was turned away.
     asked: bool,
@@ -120,7 +122,7 @@
 impl Conn {
     /// A connection that was accepted now.
     pub fn new(now: Millis) -> Self {
-        Self { opened: now, moved: now, deaf_ms: DEAF_MS, ..Self::default() }
+        Self { opened: now, moved: now, taken: now, deaf_ms: DEAF_MS, ..Self::default() }
     }
 
     /// Its clients may wait so long for an answer.
@@ -131,6 +133,9 @@
     /// Takes bytes in. What they bring holds also where a fault follows it; after a fault the connection is to be closed.
     pub fn receive(&mut self, now: Millis, bytes: &[u8]) -> (Vec<Heard>, Option<Fault>) {
         self.moved = now;
+        if self.unwritten == 0 {
+            self.taken = now;
+        }
         self.decoder.feed(bytes);
         let mut heard = Vec::new();
         let fault = self.read_records(now, &mut heard).err();
@@ -371,7 +376,7 @@
         let quiet = self.open.is_empty() && self.unwritten == 0;
         let silent = quiet && !self.asked && now - self.opened > WHOLE_MS;
         let idle = quiet && now - self.moved > IDLE_MS;
-        let deaf = self.unwritten > 0 && now - self.moved > self.deaf_ms;
+        let deaf = self.unwritten > 0 && now - self.taken > self.deaf_ms;
         let reasons = [(idle, ClientClose::Idle), (deaf, ClientClose::Deaf), (silent, ClientClose::Silent)];
         if let Some((_, reason)) = reasons.into_iter().find(|(holds, _)| *holds) {
             return Standing::Over(reason);
@@ -415,7 +420,7 @@
 
     /// So many of them have been written.
     pub fn wrote(&mut self, now: Millis, bytes: usize) {
-        self.moved = now;
+        (self.moved, self.taken) = (now, now);
         self.written += bytes;
         self.unwritten -= bytes;
         if self.out.front().is_some_and(|(_, record)| self.written >= record.len()) {
