--- a/crates/frostturn-lab/src/check/tests.rs
+++ b/crates/frostturn-lab/src/check/tests.rs
@@ -87,3 +87,24 @@
     }
     assert_eq!(checker.finish().rules.purge, 1);
 }
+
+#[test]
+fn what_crossed_a_close_is_sent_again_unless_it_was_sent_on() {
+    let mut checker = Checker::default();
+    (1..=3).for_each(|id| checker.asked(id, 1, 7, 0.0, 1000.0));
+    checker.crossed(1);
+    checker.crossed(2);
+    checker.arrived(2, 0, 5.0);
+    let verdict = checker.finish();
+    assert_eq!(verdict.rules.lost, 2, "the one that was sent on, and the one that crossed nothing");
+}
+
+#[test]
+fn an_answer_may_be_late_by_what_is_granted_and_no_more() {
+    let mut checker = Checker::default();
+    checker.grant(500.0);
+    (1..=2).for_each(|id| checker.asked(id, 1, 7, 0.0, 1000.0));
+    served(&mut checker, 1, 1599.0);
+    served(&mut checker, 2, 1601.0);
+    assert_eq!(checker.finish().rules.lost, 1);
+}
--- a/crates/frostturn-lab/src/scenarios/soak/schedule.rs
+++ b/crates/frostturn-lab/src/scenarios/soak/schedule.rs
@@ -113,3 +113,6 @@
         steps.push((from + rng.random_range(-500.0..3000.0), Act::Crowd(router)));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -3,7 +3,8 @@
 //!
 //! Beside it, what the log says of the service's states and of rules that were broken.
 
-use super::clients::heard_input;
+use super::clients::{heard_input, Accepted};
+use super::handover::Handover;
 use super::{Runtime, Source};
 use crate::api::Millis;
 use crate::front::Conn;
@@ -12,7 +13,10 @@
 use crate::service::{Intake, Service, RECENT_MS};
 use crate::{say, trace_event};
 use std::fmt;
+use std::net::Shutdown;
 
+/// At the end: how often what has come on a connection that is still owed something is read away.
+const LAST_READS: usize = 16;
 /// Time between two lines about one evacuation.
 const TELL_MS: Millis = 1000.0;
 
@@ -58,6 +62,46 @@
         }
     }
 
+    /// No more connections are taken: those that the system has let in are accepted, and what has come by now is read.
+    pub(super) fn stop_listening(&mut self) {
+        self.stops_listening = true;
+        while self.accept() == Accepted::Some {} // There may be more than one turn takes.
+
+        // It is nobody else's either: it is taken before the first request that comes too late.
+        let fronts: Vec<u64> = self.fronts.keys().copied().collect();
+        for key in fronts {
+            if let Some(over) = self.read_unheard(key) {
+                self.end_front(key, over);
+            }
+            self.dirty.insert(Source::Front(key));
+        }
+        self.inbox.push(Input::DoorShut);
+    }
+
+    /// Whether the process may end: nobody is connected and nothing is owed, or its time is up.
+    pub(super) fn over(&self) -> bool {
+        let closed = || {
+            let all = self.fronts.is_empty() && self.lingering.is_empty() && self.listener.is_none();
+            // What it has said yes to is to be known to whoever follows.
+            all && self.reducer.open() == 0 && !self.handover.as_ref().is_some_and(Handover::owes)
+        };
+        self.exit_by.is_some_and(|by| self.now() >= by || closed())
+    }
+
+    /// Its time is up with clients that still read: what has come is read away, so that the close resets nothing.
+    pub(super) fn close_rest(&mut self) {
+        let rest: Vec<u64> = self.fronts.keys().copied().collect();
+        for key in rest {
+            let Some(mut sock) = self.forget_front(key, ClientClose::ProcessExit) else { continue };
+            let _ = sock.stream.shutdown(Shutdown::Write); // It may have gone.
+            for _ in 0..LAST_READS {
+                if sock.read(&mut self.buffer).is_err() {
+                    break;
+                }
+            }
+        }
+    }
+
     /// Tells of a change of state, with what is open then.
     pub(super) fn tell_service(&mut self, before: Service) {
         let after = self.reducer.service();
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -28,20 +28,17 @@
 use crate::say;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Readiness, RegistrationToken};
-use clients::Accepted;
 pub use plugins::read_program;
 use socket::{io_error, listen, register, Sock};
 use socket2::Socket;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// At the end: how often what has come on a connection that is still owed something is read away.
-const LAST_READS: usize = 16;
 /// Part of the memory limit that requests which are still coming in may take.
 const COMING_IN: f64 = 0.1;
 /// Time between looks for client connections whose client is silent or gone.
@@ -329,15 +326,6 @@
         self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    fn over(&self) -> bool {
-        let closed = || {
-            let all = self.fronts.is_empty() && self.lingering.is_empty() && self.listener.is_none();
-            // What it has said yes to is to be known to whoever follows.
-            all && self.reducer.open() == 0 && !self.handover.as_ref().is_some_and(handover::Handover::owes)
-        };
-        self.exit_by.is_some_and(|by| self.now() >= by || closed())
-    }
-
     /// When the loop is to wake up at the latest.
     fn wake(&self) -> Millis {
         if !self.dirty.is_empty() {
@@ -563,20 +551,7 @@
                 self.answer_caller(caller, ops::report(&telemetry));
             }
             Effect::Log(text) => say!("{text}"),
-            Effect::StopListening => {
-                self.stops_listening = true;
-                while self.accept() == Accepted::Some {} // There may be more than one turn takes.
-
-                // What has come by now is not another's either: it is read, and taken, before the first that comes too late.
-                let fronts: Vec<u64> = self.fronts.keys().copied().collect();
-                for key in fronts {
-                    if let Some(over) = self.read_unheard(key) {
-                        self.end_front(key, over);
-                    }
-                    self.dirty.insert(Source::Front(key));
-                }
-                self.inbox.push(Input::DoorShut);
-            }
+            Effect::StopListening => self.stop_listening(),
             Effect::AuditDrain => self.audit_drain(),
             Effect::Exit { by } => self.exit_by = Some(by),
         }
@@ -620,19 +595,3 @@
         }
     }
 }
-
-impl Runtime {
-    /// Its time is up with clients that still read: what has come is read away, so that the close resets nothing.
-    fn close_rest(&mut self) {
-        let rest: Vec<u64> = self.fronts.keys().copied().collect();
-        for key in rest {
-            let Some(mut sock) = self.forget_front(key, ClientClose::ProcessExit) else { continue };
-            let _ = sock.stream.shutdown(Shutdown::Write); // It may have gone.
-            for _ in 0..LAST_READS {
-                if sock.read(&mut self.buffer).is_err() {
-                    break;
-                }
-            }
-        }
-    }
-}
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -7,6 +7,7 @@
 use frostturn::board::{Listed, Notice, Word};
 use frostturn::clock::UnixTime;
 use frostturn::config::Net;
+use frostturn::reasons::{Refusal, Withheld};
 use frostturn::reducer::*;
 use frostturn::runtime::Inbox;
 use std::collections::BTreeMap;
@@ -496,3 +497,38 @@
     assert!(homes(|| End::Lost(Progress::NotConnected)) < 7, "who can't be reached is left");
     assert_eq!(homes(|| End::NoRoom), 7, "the home stays the home");
 }
+
+#[test]
+fn an_attempt_begins_with_what_its_client_has_left_and_not_once_that_is_used_up_or_it_was_given_up() {
+    let mut rig = Rig::new();
+    let (attempt, fetch) = sent(&rig.ask("read", 4000.0));
+    let at_once = rig.reducer.permit(rig.now, attempt).expect("it may begin").limit_ms;
+    assert!(at_once > 0.0 && at_once <= 4000.0 && (fetch.timeout_ms == 0.0 || at_once <= fetch.timeout_ms));
+    // The loop stands still, so that no timer has pulled it.
+    let later = rig.reducer.permit(rig.now + 100.0, attempt).expect("it may still begin").limit_ms;
+    assert_eq!(later, at_once - 100.0);
+    assert_eq!(rig.reducer.permit(rig.now + 5000.0, attempt), Err(Withheld::TooLate));
+    rig.step(Input::Aborted { client: rig.client() });
+    assert_eq!(rig.reducer.permit(rig.now, attempt), Err(Withheld::Unknown));
+    assert_eq!(rig.reducer.counters.reasons.withheld.total(), 2);
+    assert!(Withheld::Unknown.is_violation() && !Withheld::TooLate.is_violation());
+}
+
+#[test]
+fn what_is_open_on_a_connection_that_closes_is_refused_where_a_repeat_is_harmless_else_failed() {
+    for (class, written, harmless) in
+        [("read", true, true), ("fragile", false, true), ("fragile", true, false)]
+    {
+        let mut rig = Rig::new();
+        rig.step(Input::Operator { caller: 1, call: frostturn::ops::Call::Evacuate });
+        let (attempt, _) = sent(&rig.ask(class, 4000.0));
+        if written {
+            rig.step(Input::Progressed { attempt, progress: Progress::WrittenWhole });
+        }
+        let effects = rig.step(Input::Closing { conn: 1 });
+        let refused = matches!(replies(&effects)[..], [Reply::Refused { reason: Refusal::Draining, .. }]);
+        let failed = matches!(replies(&effects)[..], [Reply::Failed(Failure::GivenUp(Refusal::Draining))]);
+        assert_eq!((refused, failed), (harmless, !harmless), "{class}, written: {written}: {effects:?}");
+        assert!(has(&effects, &Effect::Stop { attempt }) && rig.reducer.open() == 0);
+    }
+}
