--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -130,7 +130,8 @@
     pub(super) fn audit_drain(&mut self) {
         let now = self.now();
         let recent = |conn: &Conn| conn.open_after(now - RECENT_MS);
-        let held = self.fronts.iter().filter(|(_, (_, conn))| conn.open() == 0 || recent(conn) > 0);
+        // The time that a client takes to read doesn't count.
+        let held = self.fronts.iter().filter(|(_, (_, conn))| conn.settled() || recent(conn) > 0);
         let held: Vec<(u64, usize, usize)> =
             held.map(|(key, (_, conn))| (*key, recent(conn), conn.unwritten())).collect();
         for (client, recent, unwritten) in held {
