Close a connection once its client has read what the system holds for it

Cause: Conn::at_rest (front.rs) was true as soon as the system had taken the last byte. A client that reads 1 MB a second sees the half-close only behind what the system holds, and what it asks until then is read away without an answer.

Change: Conn::read_by, what was written at 1 MB a second: 0.3 s at most for a client that keeps up, 4 s for one for which the system took nothing for over 0.1 s, so that its buffers were full. A connection is closed at rest, or by a drain, from then on; until then what it asks is refused. The loop wakes for it.

Tried and taken back: a send buffer of 128 KB, so that the router sees what isn't read.

That every request that was owed one has its answer stands.

--- a/src/front.rs
+++ b/src/front.rs
@@ -31,6 +31,13 @@
 const IDLE_MS: Millis = 4500.0;
 /// A client that has taken nothing of what it is owed for so long, and for longer than any class's clients wait, is gone.
 const DEAF_MS: Millis = 6000.0;
+/// How fast the slowest clients read, in bytes a millisecond (the operators' page of days: 1 MB a second).
+const SLOWEST_READS: f64 = 1000.0;
+/// How long a client may still read what the system has taken for it: one that keeps up, and one for which the system's
+/// buffers, which take megabytes, were full for longer than [`KEEPS_UP_MS`].
+const READ_LAG_MS: Millis = 300.0;
+const FULL_READ_LAG_MS: Millis = 4000.0;
+const KEEPS_UP_MS: Millis = 100.0;
 /// So young a connection isn't shed: its first bytes may be there, unread.
 const YOUNG_MS: Millis = 50.0;
 
@@ -110,6 +117,10 @@
     moved: Millis,
     /// When its client last took something of what it is owed, or was owed nothing.
     taken: Millis,
+    /// By then a slow client has read what was written, too.
+    read_by: Millis,
+    /// Since when the system takes no more for its client.
+    blocked_since: Option<Millis>,
     deaf_ms: Millis,
     /// Some request has come whole, or was turned away.
     asked: bool,
@@ -366,9 +377,20 @@
         self.open.is_empty() && self.unwritten == 0
     }
 
+    /// When its client has read what was written, if it is slow. It sees a close only behind that, and sends until then.
+    pub fn read_by(&self) -> Millis {
+        self.read_by
+    }
+
+    /// Whether it could be closed now though half a record may be there: nothing is owed, and its client sees the close at
+    /// once.
+    pub fn closable(&self, now: Millis) -> bool {
+        self.settled() && now >= self.read_by
+    }
+
     /// Whether it could be closed now with nothing lost that has been read: nothing is open, half read or unwritten.
-    pub fn at_rest(&self) -> bool {
-        self.settled() && self.decoder.pending() == 0
+    pub fn at_rest(&self, now: Millis) -> bool {
+        self.closable(now) && self.decoder.pending() == 0
     }
 
     /// How it stands with the clock. A client is owed word or a close soon, and descriptors are few.
@@ -421,6 +443,11 @@
     /// So many of them have been written.
     pub fn wrote(&mut self, now: Millis, bytes: usize) {
         (self.moved, self.taken) = (now, now);
+        let was_full = self.blocked_since.take().is_some_and(|since| now - since > KEEPS_UP_MS);
+        let most = if was_full { FULL_READ_LAG_MS } else { READ_LAG_MS };
+        let lag = if was_full { most } else { bytes as f64 / SLOWEST_READS };
+        let read_by = (self.read_by.max(now) + lag).min(now + most);
+        self.read_by = self.read_by.max(read_by);
         self.written += bytes;
         self.unwritten -= bytes;
         if self.out.front().is_some_and(|(_, record)| self.written >= record.len()) {
@@ -429,6 +456,11 @@
         }
     }
 
+    /// The system takes no more for its client just now.
+    pub fn blocked(&mut self, now: Millis) {
+        self.blocked_since.get_or_insert(now);
+    }
+
     /// Requests that are open on it, half read ones among them.
     pub fn open(&self) -> usize {
         self.open.len()
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -72,6 +72,7 @@
                     let client = self.next_front;
                     // Without these it is slower, or held up for a moment; that is no reason to reset a client.
                     let set = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+
                     if let Err(e) = set {
                         say!("an option of a client's connection can't be set: {e}");
                     }
@@ -137,7 +138,7 @@
             let before = conn.holding();
             match conn.standing(now) {
                 Standing::Good => {}
-                Standing::Over(reason) if conn.at_rest() => idle.push((*key, reason)),
+                Standing::Over(reason) if conn.at_rest(now) => idle.push((*key, reason)),
                 Standing::Over(reason) => over.push((*key, reason)),
                 Standing::Late(late) => {
                     self.inbox.extend(late.into_iter().map(|heard| heard_input(*key, heard)));
@@ -154,7 +155,7 @@
     pub(super) fn rest_front(&mut self, key: u64, reason: ClientClose) {
         match self.read_unheard(key) {
             Some(over) => self.end_front(key, over),
-            None if self.fronts.get(&key).is_some_and(|(_, conn)| conn.at_rest()) => {
+            None if self.fronts.get(&key).is_some_and(|(_, conn)| conn.at_rest(self.now())) => {
                 self.close_front(key, reason);
             }
             None => drop(self.dirty.insert(Source::Front(key))),
@@ -253,7 +254,10 @@
                     written += bytes;
                 }
                 Err(Io::Closed | Io::Broken) => break Some(ClientClose::PeerReset),
-                Err(Io::Blocked) => break None,
+                Err(Io::Blocked) => {
+                    conn.blocked(now);
+                    break None;
+                }
                 Err(Io::Starved) => {
                     starved = true;
                     break None;
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -27,7 +27,7 @@
         if self.reducer.service().intake(now) == Intake::Open {
             return;
         }
-        let ends = |conn: &Conn| conn.at_rest() || self.reducer.service().closes_busy(now, conn.latest());
+        let ends = |conn: &Conn| conn.at_rest(now) || self.reducer.service().closes_busy(now, conn.latest());
         let ending = self.fronts.iter().filter(|(_, (_, conn))| ends(conn));
         let ending: Vec<u64> = ending.map(|(key, _)| *key).collect();
         ending.into_iter().for_each(|key| self.drain_client(key));
@@ -42,9 +42,11 @@
         let now = self.now();
         let Some((_, conn)) = self.fronts.get_mut(&key) else { return };
         if !self.reducer.service().closes_busy(now, conn.latest()) {
-            return match conn.at_rest() {
+            return match conn.at_rest(now) {
                 true => self.close_front(key, ClientClose::Draining),
-                false => drop(self.dirty.insert(Source::Front(key))), // Something has just come.
+                // Something has just come, or has yet to be read.
+                false if conn.settled() => {}
+                false => drop(self.dirty.insert(Source::Front(key))),
             };
         }
         let before = conn.holding();
@@ -57,11 +59,22 @@
             return self.end_front(key, over);
         }
         // A client that reads slowly is waited for; what it asks meanwhile is refused.
-        if self.fronts.get(&key).is_some_and(|(_, conn)| conn.settled()) {
+        let now = self.now();
+        if self.fronts.get(&key).is_some_and(|(_, conn)| conn.closable(now)) {
             self.close_front(key, ClientClose::Draining);
         }
     }
 
+    /// When a connection that is to be closed may be, as its client has read what was written.
+    pub(super) fn drain_due(&self) -> Option<Millis> {
+        let now = self.now();
+        if self.reducer.service().intake(now) == Intake::Open {
+            return None;
+        }
+        let settled = self.fronts.values().filter(|(_, conn)| conn.settled());
+        settled.map(|(_, conn)| conn.read_by()).filter(|at| *at > now).reduce(f64::min)
+    }
+
     /// No more connections are taken: those that the system has let in are accepted, and what has come by now is read.
     pub(super) fn stop_listening(&mut self) {
         self.stops_listening = true;
@@ -131,7 +144,7 @@
         let now = self.now();
         let recent = |conn: &Conn| conn.open_after(now - RECENT_MS);
         // The time that a client takes to read doesn't count.
-        let held = self.fronts.iter().filter(|(_, (_, conn))| conn.settled() || recent(conn) > 0);
+        let held = self.fronts.iter().filter(|(_, (_, conn))| conn.closable(now) || recent(conn) > 0);
         let held: Vec<(u64, usize, usize)> =
             held.map(|(key, (_, conn))| (*key, recent(conn), conn.unwritten())).collect();
         for (client, recent, unwritten) in held {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -336,7 +336,15 @@
         let (links, lingering) = (self.links.next_due(), self.lingering_due());
         let handover = self.handover.as_ref().map(|handover| self.now() + handover.due_in());
         let intake = self.reducer.service().next_intake(self.now());
-        let own = [intake, handover, self.accept_from, self.exit_by, self.starved_until, self.reload_at];
+        let own = [
+            intake,
+            self.drain_due(),
+            handover,
+            self.accept_from,
+            self.exit_by,
+            self.starved_until,
+            self.reload_at,
+        ];
         let dues = [self.reducer.next_due(), links, board, seat, lingering].into_iter().chain(own);
         dues.flatten().fold(f64::INFINITY, f64::min)
     }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -839,3 +839,29 @@
     assert!(links.expired(70.0).contains(&(key, EndpointClose::Idle)));
     assert_eq!(links.older(&other, 61.0).len(), 1);
 }
+
+#[test]
+fn a_connection_is_closed_once_its_client_has_read_what_the_system_holds_for_it() {
+    /// Answers one more request with so many bytes; all of them are written, at once or after the system was full.
+    fn serve(conn: &mut Conn, serial: u64, at: Millis, full_ms: Millis) {
+        whole(conn.receive(at, &asking(1, "/ops/page", ID, b""))).expect("well-formed");
+        assert!(conn.answer(serial, &Reply::Served(vec![7; 200_000])));
+        if full_ms > 0.0 {
+            conn.wrote(at, 10);
+            conn.blocked(at);
+            conn.blocked(at + full_ms / 2.0);
+        }
+        while let Some(bytes) = conn.output().map(<[u8]>::len) {
+            conn.wrote(at + full_ms, bytes);
+        }
+    }
+    let mut conn = Conn::new(0.0);
+    serve(&mut conn, 1, 1000.0, 0.0);
+    assert!(!conn.at_rest(1190.0) && conn.at_rest(1210.0), "a slow client reads 1 MB a second");
+    (2..6).for_each(|serial| serve(&mut conn, serial, 2000.0, 0.0));
+    assert!(!conn.at_rest(2290.0) && conn.at_rest(2310.0), "one that keeps up is not waited for any longer");
+    serve(&mut conn, 6, 3000.0, 90.0);
+    assert!(conn.at_rest(3400.0), "full for a moment says nothing");
+    serve(&mut conn, 7, 4000.0, 110.0);
+    assert!(!conn.at_rest(8100.0) && conn.at_rest(8120.0), "it is behind by all that the buffers take");
+}
