Test that signals in series leave a process that ends a good end

Traced on the kept logs: all processes wrote their last line. Router 0 was told to end at 2,914 ms, its time was up at 3,814 (exit_by_ms; deadlines of 0.3 s, a crowd that closes nothing lingers), and the schedule sent it a SIGHUP 900.5 ms after the SIGTERM. calloop's Signals unblocks its signals as it is dropped; one that is pending then ends the process by its default action, with a code that says it crashed, after its work is done.

Seen to fail: 8 of 8 runs, a thread sending SIGHUP without a pause until the process has ended.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -258,3 +258,28 @@
     assert_eq!((figure(&old.ends(), "served"), figure(&new.end(), "served")), (1, 1));
     assert!(endpoint.so_far().iter().all(|event| !matches!(event, Event::Down(_, true))), "no resets");
 }
+
+#[test]
+fn signals_that_come_until_the_very_end_leave_it_a_good_end() {
+    use rustix::process::{kill_process, waitid, Pid, Signal, WaitId, WaitIdOptions};
+    use std::sync::atomic::{AtomicBool, Ordering};
+    let endpoint = Endpoint::new();
+    let router = Router::start("signals", &once(&endpoint));
+    let pid = Pid::from_raw(router.pid() as i32).expect("a number");
+    let over = std::sync::Arc::new(AtomicBool::new(false));
+    router.signal("-TERM");
+    // One is pending at every moment, also as the event loop is gone and the process is not.
+    let sends = std::thread::spawn({
+        let over = over.clone();
+        move || {
+            while !over.load(Ordering::Relaxed) {
+                kill_process(pid, Signal::HUP).expect("it is there until it is waited for");
+            }
+        }
+    });
+    // Its number stays its own until the rig takes its status.
+    waitid(WaitId::Pid(pid), WaitIdOptions::EXITED | WaitIdOptions::NOWAIT).expect("a child");
+    over.store(true, Ordering::Relaxed);
+    sends.join().expect("no panic");
+    router.ends();
+}
