Keep signals blocked until the process has ended, and from before the config is read

Cause: runtime::run dropped the event loop at its end, and calloop's Signals unblocks its signals as it is dropped; a pending one ended the process by its default action. At the start the config was read, for up to 3 s, before signals were blocked: a SIGHUP then did the same.

Class: the edges of a life. What is handled in the middle was not at the first and the last moment. Ruled out by reading: SIGKILL apart, no other signal of ours has a default action that is left to chance; what comes before main can't be helped from inside.

Change: signals are blocked first; the loop is not dropped but ends with the process.

The start has no test of its own: its moment can't be forced from outside.

--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -172,7 +172,6 @@
 
 /// Serves until it is told to end.
 pub fn run(sources: Sources) -> Result<(), String> {
-    let (config, operator) = load_patiently(&sources)?;
     let io = |what: &str| {
         let what = what.to_owned();
         move |e: io::Error| format!("{what}: {e}")
@@ -185,6 +184,8 @@
     let noted =
         |event: calloop::signals::Event, (): &mut (), state: &mut Runtime| state.signals.push(event.signal());
     insert_patiently(&handle, signals, noted).map_err(io("signals"))?;
+    // Signals wait from here on: one that comes while the config is read ends nothing halfway.
+    let (config, operator) = load_patiently(&sources)?;
     std::panic::set_hook(Box::new(|panic| say!("{panic}")));
     let start = Instant::now();
     let reducer = Reducer::new(config.settings, config.net.clone(), config.seed, 0.0, UnixTime::now());
@@ -277,6 +278,9 @@
     state.close_rest();
     state.leave_state();
     say!(always; "{} ends; {}", config.name, state.reducer.counters);
+    // Its signals stay blocked until the process has ended: the loop would unblock them as it is dropped, and one that
+    // is pending then would end the process by its default action, as if it had crashed.
+    std::mem::forget(events);
     Ok(())
 }
 
