Test that a router that ends keeps its connections until it is shut

Need: on rereading the change, had reversed one check on purpose (an end after an evacuation no longer keeps resting connections: the evacuation goes on) and with it no test said any more that an end alone keeps them. It is said here, together with the step from Refuse to Close at the time that an end gives.

Measured: the unit tests of service pass, this one among them; format clean.

--- a/src/service/tests.rs
+++ b/src/service/tests.rs
@@ -40,6 +40,16 @@
     }
 }
 
+#[test]
+fn one_that_ends_takes_requests_and_keeps_connections_until_it_is_shut_however_late() {
+    let mut service = Service::Serving;
+    assert!(service.end(0.0, PATIENCE_MS));
+    assert_eq!((service.intake(1e9), service.refuses(1e9)), (Intake::Open, None));
+    assert!(!service.closes_busy(1e9, Some(0.0)) && !service.takes_clients());
+    service.shut();
+    assert_eq!(intakes(&service, &[0.0, 3399.0, 3400.0]), [Intake::Refuse, Intake::Refuse, Intake::Close]);
+}
+
 #[test]
 fn an_evacuation_goes_through_every_step_in_time_whether_an_end_follows_or_not() {
     let times = [499.0, 500.0, 1799.0, 1800.0, 3499.0, 3500.0];
