review: hundreds of requests at once take a router over its memory limit

Nothing is mended.

Cause: answers that are arriving from machines are bounded for each connection alone and counted nowhere; connections are limited by descriptors, not by memory.

Change: case 2, a script that plays the platform: it kills a router whose own memory passes the configured 32 MB.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: the same requests, not at once.
+cd "$(dirname "$0")/../.." || exit 2
+exec timeout -k 5 115 target/review/rig burst-memory review/2/record.txt
