review: a slow notice board is never heard, and a draining shelf goes on getting work

Nothing is mended.

Cause: a poll of the notice board has 2.7 s and is begun anew after it with the same limit, so that a board that takes 3 s to serve a call is never heard.

Change: case 3, with a stand-in board that takes 3 s for each call for 20 s.

--- a/review/rig/base.rs
+++ b/review/rig/base.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     events: Mutex<Vec<String>>,
     more: Condvar,
+    /// How long it takes to serve a call, in milliseconds, beside the wait that the call asks for.
+    pub slowness_ms: AtomicU64,
     record: Record,
 }
 
@@ -58,6 +60,7 @@
             address: listener.local_addr()?,
             events: Mutex::new(Vec::new()),
             more: Condvar::new(),
+            slowness_ms: AtomicU64::new(0),
             record: record.clone(),
         });
         board.publish(first);
@@ -111,12 +114,24 @@
             }
             let new: Vec<String> = events.iter().skip(watch).cloned().collect();
             let body = format!("{{\"rev\":{},\"notices\":[{}]}}", events.len(), new.join(","));
+            let rev = events.len();
             drop(events);
+            sleep_ms(self.slowness_ms.load(Ordering::SeqCst));
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
-            if stream.write_all(answer.as_bytes()).is_err() {
+            let written = stream.write_all(answer.as_bytes()).is_ok();
+            // A caller that has closed meanwhile has had no answer.
+            let gone = matches!(stream.set_nonblocking(true).and_then(|()| stream.peek(&mut buffer)), Ok(0));
+            let _ = stream.set_nonblocking(false);
+            if rev > watch || gone || !written {
+                self.record.line(format!(
+                    "board: call watch={watch} linger={linger} answered up to {rev}, the caller had gone: {}",
+                    gone || !written
+                ));
+            }
+            if gone || !written {
                 return;
             }
         }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -4,6 +4,7 @@
 mod base;
 mod burst_memory;
 mod drain_slow_reader;
+mod slow_board;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -17,6 +18,7 @@
     let Ok(record) = base::Record::create(Path::new(record)) else { return ExitCode::from(2) };
     let result = match name.as_str() {
         "drain-slow-reader" => drain_slow_reader::run(&record),
+        "slow-board" => slow_board::run(&record),
         "burst-memory" => burst_memory::run(&record),
         _ => Err("no such case".into()),
     };
