--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review, each a function that returns its exit code: 1 if the rule was broken, 0 if it
 //! held, 2 if the case could not run.
 
+mod bad_size;
 mod base;
 mod burst_memory;
 mod drain_slow_reader;
@@ -25,6 +26,7 @@
     let result = match name.as_str() {
         "drain-slow-reader" => drain_slow_reader::run(&record, drain_slow_reader::What::Drain),
         "restart-slow-reader" => drain_slow_reader::run(&record, drain_slow_reader::What::Restart),
+        "bad-size" => bad_size::run(&record),
         "slow-board" => slow_board::run(&record),
         "burst-memory" => burst_memory::run(&record),
         _ => Err("no such case".into()),
