--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,9 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: the same requests, not at once.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 115 target/review/rig burst-memory review/2/record.txt
+timeout -k 3 115 target/review/rig burst-memory review/2/record.txt
+case $? in
+0) exit 0 ;;
+1) exit 1 ;;
+*) exit 2 ;; # Not built, out of time, or the stand-ins failed.
+esac
