--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -4,6 +4,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod board;
+mod case_hang_repeat;
 mod case_upload_flood;
 mod fastcgi;
 mod front;
@@ -100,6 +101,7 @@
     record.line(format!("case {case}, trouble {}", if trouble { "on" } else { "off" }));
     let outcome = match case.as_str() {
         "upload-flood" => case_upload_flood::run(&setup),
+        "hang-repeat" => case_hang_repeat::run(&setup),
         _ => Err(format!("no such case: {case}")),
     };
     let code = match outcome {
