Review case 8: purged copies are served while the notice board is down

Cause: nothing bounds the age of copies while the board is out of reach; only purges that have arrived do. After a break a purge counts as told 2 s later, and older copies lie about for up to 6 s.

Change: the case with its test: the board breaks off in the middle of a purge and is down for 8 s.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,7 @@
 
 mod board;
 mod case_hang_repeat;
+mod case_purge_outage;
 mod case_upload_flood;
 mod fastcgi;
 mod front;
@@ -102,6 +103,7 @@
     let outcome = match case.as_str() {
         "upload-flood" => case_upload_flood::run(&setup),
         "hang-repeat" => case_hang_repeat::run(&setup),
+        "purge-outage" => case_purge_outage::run(&setup),
         _ => Err(format!("no such case: {case}")),
     };
     let code = match outcome {
