--- a/review/rig-2/case_hang_repeat.rs
+++ b/review/rig-2/case_hang_repeat.rs
@@ -20,11 +20,13 @@
 /// The uploads that are sent just after it has begun to hang, and the bytes of each.
 const UPLOADS: u16 = 4;
 const BODY: usize = 48_000;
+/// The shelves' receive buffers. With loopback's default a whole upload would fit.
+const RECEIVE_BUFFER: i32 = 16 * 1024;
 
 pub fn run(setup: &Setup) -> Result<Verdict, Failed> {
     let record = &setup.record;
     let fail = |e: std::io::Error| e.to_string();
-    let world = World::with(record.clone(), vec!["shift-swap"], true, WINDOW_MS);
+    let world = World::with(record.clone(), vec!["shift-swap"], Some(RECEIVE_BUFFER), WINDOW_MS);
     let (mut list, mut shelves) = (Vec::new(), Vec::new());
     for (name, zone, kind) in [
         ("s-a1", "edge-1", "standard"),
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -51,7 +51,7 @@
 
     /// Writes one line to the record and to standard output.
     pub fn say(&self, text: impl AsRef<str>) {
-        println!("{}", text.as_ref());
+        let _ = writeln!(std::io::stdout(), "{}", text.as_ref());
         self.line(text);
     }
 }
--- a/review/rig-2/shelf.rs
+++ b/review/rig-2/shelf.rs
@@ -41,8 +41,8 @@
     /// The classes that run at the origin and leave no copy.
     pub uncached: Vec<&'static str>,
     shelves: Mutex<Vec<Arc<Shelf>>>,
-    /// The shelves' connections are like those of machines behind an Ethernet.
-    pub ethernet: bool,
+    /// The size of the shelves' receive buffers; the system's default if `None`.
+    receive_buffer: Option<i32>,
     /// For how long a request that is repeated is discarded, counted from its first run; 0: it is not.
     pub dedup_ms: f64,
     /// When each request of a class that leaves no copy first ran.
@@ -51,17 +51,22 @@
 
 impl World {
     pub fn new(record: Record, uncached: Vec<&'static str>) -> Arc<Self> {
-        Self::with(record, uncached, false, 0.0)
+        Self::with(record, uncached, None, 0.0)
     }
 
-    pub fn with(record: Record, uncached: Vec<&'static str>, ethernet: bool, dedup_ms: f64) -> Arc<Self> {
+    pub fn with(
+        record: Record,
+        uncached: Vec<&'static str>,
+        receive_buffer: Option<i32>,
+        dedup_ms: f64,
+    ) -> Arc<Self> {
         Arc::new(Self {
             record,
             versions: Mutex::default(),
             runs: Mutex::default(),
             uncached,
             shelves: Mutex::default(),
-            ethernet,
+            receive_buffer,
             dedup_ms,
             first_runs: Mutex::default(),
         })
@@ -95,10 +100,8 @@
     pub fn start(world: &Arc<World>, name: &str) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        // Like a machine behind an Ethernet, with a receive buffer of 16 KB.
-        if world.ethernet {
-            set_option(&listener, IPPROTO_TCP, TCP_MAXSEG, 1460)?;
-            set_option(&listener, SOL_SOCKET, SO_RCVBUF, 16 * 1024)?;
+        if let Some(bytes) = world.receive_buffer {
+            set_receive_buffer(&listener, bytes)?;
         }
         let (hangs, copies) = (AtomicBool::new(false), Mutex::default());
         let shelf = Arc::new(Self { name: name.to_owned(), address, hangs, copies, world: world.clone() });
@@ -266,17 +269,14 @@
 const FIONREAD: u64 = 0x541b;
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
-const IPPROTO_TCP: i32 = 6;
-const TCP_MAXSEG: i32 = 2;
-
 extern "C" {
     fn ioctl(file: i32, request: u64, ...) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
-/// Sets an option of the stand-in's own socket.
-fn set_option(socket: &impl AsRawFd, level: i32, name: i32, value: i32) -> std::io::Result<()> {
-    match unsafe { setsockopt(socket.as_raw_fd(), level, name, &value, 4) } {
+/// Sets the size of the receive buffer of the stand-in's own sockets.
+fn set_receive_buffer(listener: &TcpListener, bytes: i32) -> std::io::Result<()> {
+    match unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) } {
         0 => Ok(()),
         _ => Err(std::io::Error::last_os_error()),
     }
