--- a/review/rig-2/case_purge_outage.rs
+++ b/review/rig-2/case_purge_outage.rs
@@ -43,6 +43,7 @@
         memory_mb: 192,
         sockets: 512,
         listen: free_address().map_err(fail)?,
+        ops: None,
     };
     let router = Router::start(&setup.temp, &config)?;
     let mut front = Front::connect(router.address).map_err(fail)?;
--- a/review/rig-2/case_upload_flood.rs
+++ b/review/rig-2/case_upload_flood.rs
@@ -49,6 +49,7 @@
         memory_mb: MEMORY_MB,
         sockets: SOCKETS,
         listen: free_address().map_err(fail)?,
+        ops: None,
     };
     let router = Router::start(&setup.temp, &config)?;
     let mut lost = 0;
--- a/review/rig-2/front.rs
+++ b/review/rig-2/front.rs
@@ -34,6 +34,11 @@
 
 impl Front {
     pub fn connect(address: SocketAddr) -> std::io::Result<Self> {
+        Self::connect_reading(address, None)
+    }
+
+    /// Connects a client that reads at most so many bytes a second.
+    pub fn connect_reading(address: SocketAddr, bytes_per_s: Option<usize>) -> std::io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(3))?;
         stream.set_nodelay(true)?;
         let mut reader = stream.try_clone()?;
@@ -42,7 +47,11 @@
             let (mut decoder, mut open) = (Decoder::default(), HashMap::<u16, Vec<u8>>::new());
             let mut buffer = vec![0; 64 * 1024];
             let why = loop {
-                let bytes = match reader.read(&mut buffer) {
+                let most = bytes_per_s.map_or(buffer.len(), |rate| rate / 40);
+                if bytes_per_s.is_some() {
+                    crate::sleep_ms(25);
+                }
+                let bytes = match reader.read(&mut buffer[..most]) {
                     Ok(0) => break "closed by the router".to_owned(),
                     Ok(bytes) => bytes,
                     Err(e) => break e.to_string(),
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -4,6 +4,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod board;
+mod case_drain_reader;
 mod case_hang_repeat;
 mod case_purge_outage;
 mod case_upload_flood;
@@ -102,6 +103,7 @@
     record.line(format!("case {case}, trouble {}", if trouble { "on" } else { "off" }));
     let outcome = match case.as_str() {
         "upload-flood" => case_upload_flood::run(&setup),
+        "drain-reader" => case_drain_reader::run(&setup),
         "hang-repeat" => case_hang_repeat::run(&setup),
         "purge-outage" => case_purge_outage::run(&setup),
         _ => Err(format!("no such case: {case}")),
--- a/review/rig-2/router.rs
+++ b/review/rig-2/router.rs
@@ -1,5 +1,6 @@
 //! A router as the platform starts it: by the `run` line of the deploy file, from the root, with its configuration.
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::path::Path;
@@ -35,12 +36,15 @@
     pub memory_mb: u32,
     pub sockets: u32,
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
 }
 
 impl Config {
     pub fn json(&self) -> String {
+        let ops = self.ops.map_or(String::new(), |ops| format!(r#""ops":"{ops}","#));
         format!(
-            r#"{{"name":"{}","listen":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"board":"{}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{},"settings":{}}}"#,
+            r#"{{"name":"{}","listen":"{}",{ops}"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"board":"{}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{},"settings":{}}}"#,
             self.name, self.listen, self.memory_mb, self.sockets, self.board, self.known, self.settings
         )
     }
@@ -51,6 +55,16 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// Makes an operator's call; returns the status.
+pub fn call(ops: SocketAddr, method: &str, path: &str) -> std::io::Result<u16> {
+    let mut stream = std::net::TcpStream::connect(ops)?;
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: router\r\nContent-Length: 0\r\n\r\n")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0))
+}
+
 /// A running router.
 pub struct Router {
     pub pid: i32,
--- a/review/rig-2/shelf.rs
+++ b/review/rig-2/shelf.rs
@@ -219,7 +219,11 @@
             newer.map_or("-".to_owned(), |ms| ms.to_string())
         ));
         let fields = format!("version={:016x},stamp={:.0},tell={tell},took=1", copy.version, copy.stamp);
-        let body = format!("{object} version {}", copy.version);
+        let mut body = format!("{object} version {}", copy.version);
+        // Objects whose names begin with `b` have nearly the most bytes.
+        if object.starts_with('b') {
+            body.push_str(&"x".repeat(239_000));
+        }
         frame(&[id.as_bytes(), b"DONE", fields.as_bytes(), body.as_bytes()])
     }
 }
