Refuse stalled requests, not the largest client, when incomplete requests fill memory

Cause: past the limit for incomplete requests, close_largest_sender closed the connection that held most, which is the one that progresses, and dropped its requests.

Change: single incomplete requests give way, those of which nothing has arrived for longest first; their connection is read out before, and they are answered with a refusal. A stream record's content reaches its request as it arrives, and the account takes what is allocated. The reason no_memory is gone.

--- a/src/bytes.rs
+++ b/src/bytes.rs
@@ -1,7 +1,7 @@
 //! The receive buffer shared by the FastCGI and RESP decoders.
 
-/// Capacity that an empty buffer may keep, in bytes.
-const MAX_IDLE_CAPACITY_BYTES: usize = 16 * 1024;
+/// Capacity that a buffer may keep beyond what it holds, in bytes. There are hundreds of idle connections.
+const MAX_IDLE_CAPACITY_BYTES: usize = 1024;
 
 /// Received bytes in order of arrival, with the position up to which they are decoded.
 #[derive(Debug, Default)]
@@ -22,8 +22,22 @@
         &self.bytes[self.position..]
     }
 
-    /// Marks `bytes` bytes as decoded. Releases the memory of a burst once the buffer is empty, as there are
-    /// hundreds of connections with a buffer each.
+    /// Returns the number of bytes allocated.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Releases the memory of a burst, except for the bytes that are not decoded yet.
+    pub fn compact(&mut self) {
+        self.bytes.drain(..std::mem::take(&mut self.position));
+        if self.bytes.is_empty() {
+            self.bytes = Vec::new();
+        } else if self.bytes.capacity() > self.bytes.len() + MAX_IDLE_CAPACITY_BYTES {
+            self.bytes.shrink_to_fit();
+        }
+    }
+
+    /// Marks `bytes` bytes as decoded. Releases the memory of a burst once the buffer is empty.
     pub fn advance(&mut self, bytes: usize) {
         self.position = (self.position + bytes).min(self.bytes.len());
         if self.position == self.bytes.len() {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -69,6 +69,8 @@
     failed,
     /// Requests that their client gave up.
     aborted,
+    /// Incomplete requests refused because their memory was needed for others.
+    incomplete_shed,
     /// Answers whose body was read only after a wait for memory.
     answers_delayed,
     /// Client connections closed while the kernel held answers that the client had no room for yet.
--- a/src/fastcgi.rs
+++ b/src/fastcgi.rs
@@ -1,5 +1,6 @@
-//! FastCGI 1.0 codec. Decodes records from a byte stream and encodes them; performs no I/O. A partial record
-//! takes no more memory than its length field allows.
+//! FastCGI 1.0 codec. Decodes records from a byte stream and encodes them; performs no I/O. The content of a
+//! stream record is returned in parts as it arrives; any other partial record is buffered until it is
+//! complete.
 
 use crate::bytes::ReadBuffer;
 
@@ -59,10 +60,21 @@
     pub content: Vec<u8>,
 }
 
-/// Incremental decoder from bytes to records.
+/// What is still to come of a stream record whose header was decoded.
+#[derive(Clone, Copy, Debug)]
+struct PartialRecord {
+    kind: u8,
+    request: u16,
+    content_bytes: usize,
+    padding_bytes: usize,
+}
+
+/// Incremental decoder from bytes to records. A record of [`kind::PARAMS`] or [`kind::STDIN`] that arrives in
+/// parts is returned as several records, none of them empty unless it is.
 #[derive(Debug, Default)]
 pub struct Decoder {
     bytes: ReadBuffer,
+    partial: Option<PartialRecord>,
 }
 
 impl Decoder {
@@ -76,8 +88,31 @@
         self.bytes.unread().len()
     }
 
-    /// Returns the next complete record, if there is one.
+    /// Whether the latest record has not arrived completely.
+    pub fn has_partial_record(&self) -> bool {
+        self.partial.is_some() || self.pending() > 0
+    }
+
+    /// Returns the number of bytes that the decoder has allocated.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Releases memory that holds no pending bytes.
+    pub fn compact(&mut self) {
+        self.bytes.compact();
+    }
+
+    /// Returns the next complete record or part of a stream record, if there is one.
     pub fn next_record(&mut self) -> Result<Option<Record>, ProtocolError> {
+        if let Some(partial) = self.partial {
+            if partial.content_bytes > 0 {
+                return Ok(self.next_part(partial));
+            }
+            if !self.skip_padding(partial) {
+                return Ok(None);
+            }
+        }
         let rest = self.bytes.unread();
         let Some((header, rest)) = rest.split_at_checked(HEADER_BYTES) else { return Ok(None) };
         if header[0] != 1 {
@@ -85,17 +120,40 @@
         }
         let length = usize::from(u16::from_be_bytes([header[4], header[5]]));
         let whole = length + usize::from(header[6]);
+        let (kind, request) = (header[1], u16::from_be_bytes([header[2], header[3]]));
         if rest.len() < whole {
-            return Ok(None);
+            if length == 0 || !matches!(kind, kind::PARAMS | kind::STDIN) {
+                return Ok(None);
+            }
+            let padding_bytes = usize::from(header[6]);
+            let partial = PartialRecord { kind, request, content_bytes: length, padding_bytes };
+            self.bytes.advance(HEADER_BYTES);
+            return Ok(self.next_part(partial));
         }
-        let record = Record {
-            kind: header[1],
-            request: u16::from_be_bytes([header[2], header[3]]),
-            content: rest[..length].to_vec(),
-        };
+        let record = Record { kind, request, content: rest[..length].to_vec() };
         self.bytes.advance(HEADER_BYTES + whole);
         Ok(Some(record))
     }
+
+    /// Returns what has arrived of a stream record's content.
+    fn next_part(&mut self, mut partial: PartialRecord) -> Option<Record> {
+        let arrived = self.bytes.unread();
+        let content = arrived[..arrived.len().min(partial.content_bytes)].to_vec();
+        self.bytes.advance(content.len());
+        partial.content_bytes -= content.len();
+        self.partial = Some(partial);
+        let PartialRecord { kind, request, .. } = partial;
+        (!content.is_empty()).then_some(Record { kind, request, content })
+    }
+
+    /// Skips the padding of a stream record. Returns whether all of it has arrived.
+    fn skip_padding(&mut self, mut partial: PartialRecord) -> bool {
+        let arrived = self.bytes.unread().len().min(partial.padding_bytes);
+        self.bytes.advance(arrived);
+        partial.padding_bytes -= arrived;
+        self.partial = Some(partial).filter(|partial| partial.padding_bytes > 0);
+        self.partial.is_none()
+    }
 }
 
 /// Appends one record to `out`. Callers split content that exceeds a record; any excess is dropped.
--- a/src/front.rs
+++ b/src/front.rs
@@ -5,7 +5,7 @@
 
 use crate::api::Millis;
 use crate::fastcgi::{self, kind, status, Decoder, ProtocolError, Record};
-use crate::reasons::ClientClose;
+use crate::reasons::{ClientClose, Refusal};
 use crate::reducer::{IncomingRequest, Reply};
 pub use read_progress::ReadProgress;
 use std::collections::{BTreeMap, VecDeque};
@@ -18,6 +18,12 @@
 const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Bytes of rejected, answered or unknown requests that a connection reads and discards before it is closed.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Size limit of a record that is no part of a request's parameters or body, in bytes.
+const MAX_CONTROL_RECORD_BYTES: usize = 4 * 1024;
+/// Memory that an incomplete request takes besides its parameters and body, in bytes.
+const BYTES_PER_INCOMPLETE_REQUEST: usize = 256;
+/// An incomplete request of which nothing has arrived for this long has stalled.
+const STALLED_AFTER_MS: Millis = 100.0;
 /// Largest piece number, group, size and timeout that a request may specify.
 const MAX_PIECE: u64 = 1 << 20;
 const MAX_GROUP: u64 = 255;
@@ -56,8 +62,18 @@
     HealthCheck(u64),
     /// The client has aborted the request.
     Aborted(u64),
-    /// An incomplete request is rejected because its connection is about to be closed.
-    RequestTruncated(u64),
+    /// An incomplete request is refused, because its connection is about to be closed or its memory is
+    /// needed.
+    RequestTruncated(u64, Refusal),
+}
+
+/// The order in which incomplete requests are refused when their memory is full, first to go first: stalled
+/// ones by the time since which nothing has arrived, then the others by their age. So neither the largest nor
+/// the newest request makes room for what does not progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ShedOrder {
+    is_progressing: bool,
+    since_us: u64,
 }
 
 /// How much of a request has been received.
@@ -76,6 +92,8 @@
     serial: u64,
     keep_connection: bool,
     started_at: Millis,
+    /// When a part of the request last arrived.
+    received_at: Millis,
     params: Vec<u8>,
     body: Vec<u8>,
     stage: Stage,
@@ -86,6 +104,20 @@
         matches!(self.stage, Stage::Params | Stage::Body)
     }
 
+    /// Returns the memory that the request takes while it is incomplete, in bytes.
+    fn buffered_bytes(&self) -> usize {
+        match self.is_incomplete() {
+            true => BYTES_PER_INCOMPLETE_REQUEST + self.params.capacity() + self.body.capacity(),
+            false => 0,
+        }
+    }
+
+    fn shed_order(&self, now: Millis) -> ShedOrder {
+        let is_progressing = now - self.received_at < STALLED_AFTER_MS;
+        let since = if is_progressing { self.started_at } else { self.received_at };
+        ShedOrder { is_progressing, since_us: (since * 1000.0) as u64 }
+    }
+
     /// Enters a stage that takes no more input. Returns the parameters and the body received so far.
     fn end_input(&mut self, stage: Stage) -> (Vec<u8>, Vec<u8>) {
         self.stage = stage;
@@ -115,7 +147,6 @@
     front_written: usize,
     unwritten_bytes: usize,
     retracted_bytes: usize,
-    buffered_bytes: usize,
     discarded_bytes: usize,
     opened_at: Millis,
     /// When the latest request began.
@@ -161,6 +192,9 @@
         self.decoder.feed(bytes);
         let mut events = Vec::new();
         let error = self.read_records(now, &mut events).err();
+        self.decoder.compact();
+        let too_long = self.decoder.pending() > MAX_CONTROL_RECORD_BYTES;
+        let error = error.or(too_long.then_some(ProtocolError::Malformed("record too long")));
         (events, error)
     }
 
@@ -208,10 +242,10 @@
                 Ok(None)
             };
         };
+        open.received_at = now;
         match (record_type, open.stage) {
             (kind::ABORT, _) => {
                 let serial = open.serial;
-                self.buffered_bytes -= open.params.len() + open.body.len();
                 self.open.remove(&request);
                 // Also for a rejected request: no answer may follow an abort.
                 Ok(Some(ClientEvent::Aborted(serial)))
@@ -225,27 +259,23 @@
             }
             (kind::PARAMS, Stage::Params) => {
                 open.params.extend_from_slice(&content);
-                self.buffered_bytes += content.len();
                 Ok(None)
             }
             (kind::PARAMS, _) => Err(ProtocolError::Malformed("parameters after their end")),
             (kind::STDIN, Stage::Body) if open.body.len() + content.len() > MAX_BODY_BYTES => {
                 // Reject the request now: its end may be far away or never come.
                 let serial = open.serial;
-                let (params, body) = open.end_input(Stage::Rejected);
-                self.buffered_bytes -= params.len() + body.len();
+                open.end_input(Stage::Rejected);
                 self.had_request = true;
                 Ok(Some(ClientEvent::Request(serial, Err("the body is too big"), 0.0)))
             }
             (kind::STDIN, Stage::Body) if !content.is_empty() => {
                 open.body.extend_from_slice(&content);
-                self.buffered_bytes += content.len();
                 Ok(None)
             }
             (kind::STDIN, Stage::Body) => {
                 let (serial, age_ms) = (open.serial, now - open.started_at);
                 let (params, body) = open.end_input(Stage::Complete);
-                self.buffered_bytes -= params.len() + body.len();
                 self.had_request = true;
                 let pairs = match fastcgi::pairs(&params) {
                     Ok(pairs) => pairs,
@@ -290,6 +320,7 @@
             serial: self.next_serial,
             keep_connection: flags & 1 != 0,
             started_at: now,
+            received_at: now,
             params: Vec::new(),
             body: Vec::new(),
             stage: Stage::Params,
@@ -385,7 +416,6 @@
         self.reading_stopped = true;
         self.decoder = Decoder::default();
         self.open.retain(|_, open| !open.is_incomplete());
-        self.buffered_bytes = 0;
     }
 
     /// Returns when the latest request began, answered or not; `None` if nothing is open or unwritten.
@@ -393,15 +423,31 @@
         self.latest_request_at.filter(|_| !self.all_answers_sent())
     }
 
-    /// Rejects all incomplete requests. Each of them is owed an answer; the rest of their input is discarded.
-    pub fn reject_incomplete(&mut self) -> Vec<ClientEvent> {
-        let mut rejected = Vec::new();
-        for open in self.open.values_mut().filter(|open| open.is_incomplete()) {
-            let (params, body) = open.end_input(Stage::Rejected);
-            self.buffered_bytes -= params.len() + body.len();
-            rejected.push(ClientEvent::RequestTruncated(open.serial));
-        }
-        rejected
+    /// Refuses all incomplete requests. Each of them is owed an answer; the rest of their input is discarded.
+    pub fn refuse_incomplete(&mut self, reason: Refusal) -> Vec<ClientEvent> {
+        let incomplete = self.open.values_mut().filter(|open| open.is_incomplete());
+        let refuse = |open: &mut OpenRequest| {
+            open.end_input(Stage::Rejected);
+            ClientEvent::RequestTruncated(open.serial, reason)
+        };
+        incomplete.map(refuse).collect()
+    }
+
+    /// Returns the order of the incomplete request that is refused first when memory is full; `None` if no
+    /// request is incomplete.
+    pub fn shed_order(&self, now: Millis) -> Option<ShedOrder> {
+        let incomplete = self.open.values().filter(|open| open.is_incomplete());
+        incomplete.map(|open| open.shed_order(now)).min()
+    }
+
+    /// Refuses the incomplete request that is first in order. It is owed an answer; the rest of its input is
+    /// discarded.
+    pub fn refuse_first(&mut self, now: Millis, reason: Refusal) -> Option<ClientEvent> {
+        let incomplete = self.open.values_mut().filter(|open| open.is_incomplete());
+        let open = incomplete.min_by_key(|open| open.shed_order(now))?;
+        open.end_input(Stage::Rejected);
+        self.had_request = true;
+        Some(ClientEvent::RequestTruncated(open.serial, reason))
     }
 
     /// Whether no request is open and no answer unwritten. A partial record may be buffered.
@@ -445,7 +491,7 @@
     /// Whether the connection may be closed without loss: no request is open, no answer unwritten and no
     /// partial record buffered.
     pub fn can_close_cleanly(&self, now: Millis) -> bool {
-        self.can_close(now) && self.decoder.pending() == 0
+        self.can_close(now) && !self.decoder.has_partial_record()
     }
 
     /// Checks the timeouts of the connection and of its incomplete requests. Clients need a prompt answer or
@@ -469,8 +515,7 @@
             .values_mut()
             .filter(|open| open.is_incomplete() && now - open.started_at > REQUEST_READ_TIMEOUT_MS)
         {
-            let (params, body) = open.end_input(Stage::Rejected);
-            self.buffered_bytes -= params.len() + body.len();
+            open.end_input(Stage::Rejected);
             expired.push(ClientEvent::Request(open.serial, Err("it never came whole"), 0.0));
         }
         if expired.is_empty() {
@@ -490,9 +535,9 @@
         (!in_use && now - since > MIN_SHED_AGE_MS).then_some((self.had_request, since as u64))
     }
 
-    /// Returns the number of bytes buffered for incomplete requests.
+    /// Returns the memory that incomplete requests take, as it was allocated, in bytes.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes + self.decoder.pending()
+        self.decoder.capacity() + self.open.values().map(OpenRequest::buffered_bytes).sum::<usize>()
     }
 
     /// Returns the number of bytes removed from the queue by aborts since the last call.
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -60,8 +60,6 @@
         PeerReset: "peer_reset", "connection reset by the client";
         /// A record on the connection can't be read.
         Unreadable: "unreadable", "unreadable record";
-        /// The connection used most of the memory for requests that are being received.
-        NoMemory: "no_memory", "no memory for its requests";
         /// No whole request was received in time.
         RequestTimeout: "silent", "request timeout";
         /// The connection was idle for longer than clients keep idle connections.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -336,7 +336,7 @@
                 let open = self.requests_on(conn);
                 open.into_iter().for_each(|key| self.fail(now, key, Failure::BadConnection));
             }
-            Input::RequestTruncated { key } => self.refuse_truncated(now, key),
+            Input::RequestTruncated { key, reason } => self.refuse_truncated(now, key, reason),
             Input::ConnectionClosing { conn } => {
                 let open = self.requests_on(conn);
                 open.into_iter().for_each(|key| self.answer_before_close(now, key));
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -132,10 +132,10 @@
         self.effects.push(Effect::Answer { key: request_key, reply });
     }
 
-    /// Refuses a partly received request, as its connection is about to be closed. It does not count as shed,
-    /// nor in the results by class, as its class may not have been received.
-    pub(super) fn refuse_truncated(&mut self, now: Millis, request_key: RequestKey) {
-        let reason = self.service.refusal(now).unwrap_or(Refusal::Draining);
+    /// Refuses a partly received request. It does not count as shed, nor in the results by class, as its
+    /// class may not have been received.
+    pub(super) fn refuse_truncated(&mut self, now: Millis, request_key: RequestKey, reason: Refusal) {
+        let reason = self.service.refusal(now).unwrap_or(reason);
         self.counters.taken += 1;
         self.counters.refused += 1;
         self.counters.reasons.refusals.add(reason);
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -145,10 +145,12 @@
         /// The client connection.
         conn: u64,
     },
-    /// A partly received request is refused, as its connection is about to be closed.
+    /// A partly received request is refused.
     RequestTruncated {
         /// The request's key.
         key: RequestKey,
+        /// Why it is refused, unless the state of the service is a reason.
+        reason: Refusal,
     },
     /// A client connection is about to be closed. Its open requests are answered now.
     ConnectionClosing {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -5,11 +5,12 @@
 use crate::api::Millis;
 use crate::errno::{self, ErrorClass};
 use crate::front::{self, Conn, TimeoutStatus};
-use crate::reasons::{ClientClose, Reason as _, Violation};
+use crate::reasons::{ClientClose, Reason as _, Refusal, Violation};
 use crate::reducer::{Input, RequestKey};
 use crate::{log_line, trace_event};
 use rustix::io::Errno;
 use socket2::Socket;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Bytes read from one client before other sockets are served. Large enough to usually reach the end of the
@@ -31,7 +32,9 @@
         }
         front::ClientEvent::HealthCheck(serial) => Input::Health { key: key(serial) },
         front::ClientEvent::Aborted(serial) => Input::Aborted { key: key(serial) },
-        front::ClientEvent::RequestTruncated(serial) => Input::RequestTruncated { key: key(serial) },
+        front::ClientEvent::RequestTruncated(serial, reason) => {
+            Input::RequestTruncated { key: key(serial), reason }
+        }
     }
 }
 
@@ -46,6 +49,16 @@
     Paused,
 }
 
+/// The result of reading once from a client.
+enum ReceiveOutcome {
+    /// This many bytes were received and decoded.
+    Received(usize),
+    /// Nothing can be read now.
+    Nothing,
+    /// The connection must be closed for this reason.
+    Ended(ClientClose),
+}
+
 impl Runtime {
     /// Accepts connections. A listener that is to close is closed only when its queue is empty: the kernel
     /// has completed the connections in the queue, no other process can accept them, and closing the listener
@@ -193,57 +206,94 @@
     /// Reads what a client has sent. Returns the reason to close the connection, if there is one.
     pub(super) fn read_client(&mut self, key: u64) -> Option<ClientClose> {
         let mut read = 0;
-        loop {
-            let now = self.now();
-            let (socket, conn) = self.clients.get_mut(&key)?;
-            let memory_lacks = self.answer_memory.is_full() && conn.has_output_backlog();
-            if !socket.readable || !conn.may_read() || memory_lacks {
-                return None;
+        while read < MAX_READ_BYTES {
+            match self.receive_from_client(key) {
+                ReceiveOutcome::Received(bytes) => read += bytes,
+                ReceiveOutcome::Nothing => return None,
+                ReceiveOutcome::Ended(reason) => return Some(reason),
             }
-            if read >= MAX_READ_BYTES {
-                self.runnable.insert(Source::Front(key));
-                return None;
-            }
-            let bytes = match socket.read(&mut self.buffer) {
-                Ok(bytes) => bytes,
-                Err(IoStatus::Closed) => return Some(ClientClose::PeerClosed),
-                Err(IoStatus::Broken) => return Some(ClientClose::PeerReset),
-                Err(IoStatus::Blocked) => return None,
-                Err(IoStatus::Shortage) => {
-                    self.defer_for_shortage(Source::Front(key));
-                    return None;
-                }
-            };
-            read += bytes;
-            let (before, unwritten) = (conn.buffered_bytes(), conn.unwritten_bytes());
-            let (events, fault) = conn.receive(now, &self.buffer[..bytes]);
-            self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
-            self.answer_memory.unsent_changed(unwritten, conn.unwritten_bytes());
-            let bytes = conn.take_retracted_bytes();
-            if bytes > 0 {
-                self.inbox.push(Input::Flushed { conn: key, bytes });
+            if self.incoming_bytes > self.max_incoming_bytes {
+                self.shed_incomplete_requests();
             }
-            self.inbox.extend(events.into_iter().map(|event| client_input(key, event)));
-            if let Some(fault) = fault {
-                self.reducer.counters.client_faults += 1;
-                log_line!("malformed record from a client: {fault:?}");
-                self.stop_reading_client(key, ClientClose::Unreadable);
-                return None;
+        }
+        self.runnable.insert(Source::Front(key));
+        None
+    }
+
+    /// Reads from a client once.
+    fn receive_from_client(&mut self, key: u64) -> ReceiveOutcome {
+        let now = self.now();
+        let Some((socket, conn)) = self.clients.get_mut(&key) else { return ReceiveOutcome::Nothing };
+        let memory_lacks = self.answer_memory.is_full() && conn.has_output_backlog();
+        if !socket.readable || !conn.may_read() || memory_lacks {
+            return ReceiveOutcome::Nothing;
+        }
+        let bytes = match socket.read(&mut self.buffer) {
+            Ok(bytes) => bytes,
+            Err(IoStatus::Closed) => return ReceiveOutcome::Ended(ClientClose::PeerClosed),
+            Err(IoStatus::Broken) => return ReceiveOutcome::Ended(ClientClose::PeerReset),
+            Err(IoStatus::Blocked) => return ReceiveOutcome::Nothing,
+            Err(IoStatus::Shortage) => {
+                self.defer_for_shortage(Source::Front(key));
+                return ReceiveOutcome::Nothing;
             }
-            if self.incoming_bytes > self.max_incoming_bytes {
-                self.close_largest_sender();
+        };
+        let (before, unwritten) = (conn.buffered_bytes(), conn.unwritten_bytes());
+        let (events, fault) = conn.receive(now, &self.buffer[..bytes]);
+        self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
+        self.answer_memory.unsent_changed(unwritten, conn.unwritten_bytes());
+        let retracted = conn.take_retracted_bytes();
+        if retracted > 0 {
+            self.inbox.push(Input::Flushed { conn: key, bytes: retracted });
+        }
+        self.inbox.extend(events.into_iter().map(|event| client_input(key, event)));
+        if let Some(fault) = fault {
+            self.reducer.counters.client_faults += 1;
+            log_line!("malformed record from a client: {fault:?}");
+            self.stop_reading_client(key, ClientClose::Unreadable);
+            return ReceiveOutcome::Nothing;
+        }
+        ReceiveOutcome::Received(bytes)
+    }
+
+    /// Refuses incomplete requests in their [`ShedOrder`](front::ShedOrder) until the others fit into their
+    /// share of the memory. Reads from a client before its request is refused: the rest of it may have
+    /// arrived, and then the request counts as received.
+    fn shed_incomplete_requests(&mut self) {
+        let mut read_out = BTreeSet::new();
+        while self.incoming_bytes > self.max_incoming_bytes {
+            let now = self.now();
+            let shed_order = |conn: &Conn| conn.shed_order(now);
+            let candidates =
+                self.clients.iter().filter_map(|(key, (_, conn))| Some((shed_order(conn)?, *key)));
+            let Some((_, key)) = candidates.min() else { return };
+            if read_out.insert(key) {
+                self.read_out_client(key);
+                continue;
             }
+            let Some((_, conn)) = self.clients.get_mut(&key) else { return };
+            let before = conn.buffered_bytes();
+            let refused = conn.refuse_first(now, Refusal::BodyMemoryFull);
+            self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
+            self.inbox.extend(refused.into_iter().map(|event| client_input(key, event)));
+            self.reducer.counters.incomplete_shed += 1;
+            log_line!("memory limit for incomplete requests reached; refusing the longest stalled");
         }
     }
 
-    /// Stops reading from the client that holds the most memory with incomplete requests, and closes its
-    /// connection once it is answered.
-    pub(super) fn close_largest_sender(&mut self) {
-        let largest = self.clients.iter().max_by_key(|(_, (_, conn))| conn.buffered_bytes());
-        let Some(key) = largest.map(|(key, _)| *key) else { return };
-        self.reducer.counters.client_faults += 1;
-        log_line!("memory limit for incomplete requests reached; closing the largest client connection");
-        self.stop_reading_client(key, ClientClose::NoMemory);
+    /// Reads what has arrived from a client, without making room for it.
+    fn read_out_client(&mut self, key: u64) {
+        let Some((socket, _)) = self.clients.get_mut(&key) else { return };
+        socket.readable = true;
+        let mut read = 0;
+        while read < MAX_READ_BYTES {
+            match self.receive_from_client(key) {
+                ReceiveOutcome::Received(bytes) => read += bytes,
+                ReceiveOutcome::Nothing => return,
+                ReceiveOutcome::Ended(reason) => return self.flush_and_close_client(key, reason),
+            }
+        }
+        self.runnable.insert(Source::Front(key));
     }
 
     /// Stops reading from a client. Its complete requests are answered, and then its connection is closed.
@@ -297,7 +347,6 @@
             ClientClose::PeerClosed | ClientClose::PeerReset | ClientClose::Panic => false,
             ClientClose::Shed => false, // Lingering would keep the descriptor that is needed.
             ClientClose::Unreadable
-            | ClientClose::NoMemory
             | ClientClose::RequestTimeout
             | ClientClose::Idle
             | ClientClose::WriteTimeout
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -10,7 +10,7 @@
 use super::{Runtime, Source};
 use crate::api::Millis;
 use crate::front::Conn;
-use crate::reasons::{ClientClose, Violation};
+use crate::reasons::{ClientClose, Refusal, Violation};
 use crate::reducer::Input;
 use crate::service::{Admission, Service, RECENT_MS};
 use crate::{log_line, trace_event};
@@ -65,7 +65,7 @@
             };
         }
         let before = conn.buffered_bytes();
-        let truncated = conn.reject_incomplete();
+        let truncated = conn.refuse_incomplete(Refusal::Draining);
         self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
         self.inbox.extend(truncated.into_iter().map(|event| client_input(key, event)));
         self.inbox.push(Input::ConnectionClosing { conn: key });
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -25,7 +25,7 @@
         Input::Aborted { key } => {
             trace_event!(now, "request_aborted", client = key.conn, serial = key.serial);
         }
-        Input::RequestTruncated { key } => {
+        Input::RequestTruncated { key, .. } => {
             trace_event!(now, "request_cut_short", client = key.conn, serial = key.serial);
         }
         Input::ConnectionClosing { conn } => trace_event!(now, "client_closing", client = conn),
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -4,7 +4,7 @@
 mod rig;
 
 use frostturn::fastcgi::{self, kind};
-use rig::{wait_until, Client, Endpoint, Event, Router, RouterSetup};
+use rig::{sleep_ms, wait_until, Client, Endpoint, Event, Router, RouterSetup};
 use std::io::Write;
 
 /// Encodes the beginning of a request, followed by these records.
@@ -181,3 +181,63 @@
         "nothing is sent for a client whose connection is about to be closed"
     );
 }
+
+/// Encodes an upload whose body is divided into records of this many bytes.
+fn upload_records(request: u16, id: u64, body: &[u8], record_bytes: usize) -> Vec<Vec<u8>> {
+    let whole = Client::request_bytes(request, "page", id, id, body);
+    let (mut head, mut end) = (whole, Vec::new());
+    fastcgi::record(&mut end, kind::STDIN, request, b"");
+    let mut content = Vec::new();
+    fastcgi::record(&mut content, kind::STDIN, request, body);
+    head.truncate(head.len() - content.len() - end.len());
+    let mut records = vec![head];
+    records.extend(body.chunks(record_bytes).map(|part| {
+        let mut out = Vec::new();
+        fastcgi::record(&mut out, kind::STDIN, request, part);
+        out
+    }));
+    records.push(end);
+    records
+}
+
+/// Guards against requests of a client that progresses being given up for the memory of those that stall.
+#[test]
+fn clients_that_stall_in_a_request_cost_a_client_that_uploads_no_answer() {
+    const STALLED: u64 = 235;
+    const UPLOADS: u16 = 4;
+    const BODY_BYTES: usize = 48_000;
+    let endpoint = Endpoint::new();
+    let mut setup = RouterSetup::new(&[("e-1", &endpoint)]);
+    (setup.memory_mb, setup.sockets) = (32, 512);
+    let router = Router::start("stalled", &setup);
+    let body = vec![7; BODY_BYTES];
+    // Every second one stops in the middle of a record.
+    let stall = |at: u64| {
+        let record_bytes = if at % 2 == 0 { 14_000 } else { BODY_BYTES };
+        let mut bytes = upload_records(1, 1000 + at, &body, record_bytes).concat();
+        bytes.truncate(14_200);
+        let mut client = Client::connect(&router);
+        client.stream.write_all(&bytes).expect("written");
+        client
+    };
+    let stalled: Vec<Client> = (0..STALLED).map(stall).collect();
+    sleep_ms(200);
+    let mut good = Client::connect(&router);
+    let mut uploads: Vec<_> = (1..=UPLOADS)
+        .map(|request| upload_records(request, u64::from(request), &body, 8000).into_iter())
+        .collect();
+    let mut interleaved = Vec::new();
+    while uploads.iter().any(|records| records.len() > 0) {
+        uploads.iter_mut().filter_map(Iterator::next).for_each(|record| interleaved.extend(record));
+    }
+    good.stream.write_all(&interleaved).expect("written");
+    for _ in 0..UPLOADS {
+        endpoint.serve(&endpoint.next_request());
+    }
+    (1..=UPLOADS).for_each(|request| assert_eq!(good.status(request), 200, "{request}"));
+    assert!(router.counter("incomplete_shed") > 0, "the memory was full: {}", router.log_text());
+    for mut client in stalled {
+        assert!([502, 503].contains(&client.status(1)), "refused now, or failed after its time");
+    }
+    router.terminate();
+}
