Never complete an attempt that was given up half written; its connection is reset

Cause: ConnectionPool::stop queued a STOP behind the rest of a partly written frame, which was written however late; the window was asked for before the first byte alone. Evidence: whole frames reach the endpoint after the hang whose last bytes had not left this process before.

Change: stop() says what remains of an attempt, and its connection is reset where that must not be delivered; permit_rest asks for the window before each further write; connections with attempts in flight discard what the kernel holds as they close. The model test follows: what is cut is closed, so that it can't be completed. New: endpoint_closed_given_up, withheld_window_over.

--- a/src/back/connection.rs
+++ b/src/back/connection.rs
@@ -3,7 +3,7 @@
 
 use super::wire::{parse_cache_status, Fields};
 use super::{
-    EndpointEvent, ANSWER_STALL_MS, ANSWER_TIMEOUT_MS, CLOSED_IDS_KEPT, CLOSED_ID_LIFETIME_MS,
+    EndpointEvent, Remainder, ANSWER_STALL_MS, ANSWER_TIMEOUT_MS, CLOSED_IDS_KEPT, CLOSED_ID_LIFETIME_MS,
     CROWDED_ATTEMPTS, IDLE_TIMEOUT_SHARE, UNRESPONSIVE_MS, WRONG_NAME,
 };
 use crate::addresses::{AddressTable, DialRace, Endpoint};
@@ -110,6 +110,20 @@
         has_room && id_unused && may_use && !self.retired && !self.is_unresponsive(now)
     }
 
+    /// Returns what remains of an attempt that is stopped. One that is partly written is completed only if its
+    /// request may be repeated at any time and the close would end another that may not.
+    pub(super) fn remainder(&self, now: Millis, stopped: Outstanding) -> Remainder {
+        let begun = |open: &Outstanding| open.progress > Progress::NotConnected;
+        let others_unrepeatable = || self.outstanding.values().any(|open| open.exclusive && begun(open));
+        match stopped.progress {
+            Progress::NotConnected => Remainder::Nothing,
+            Progress::PartlyWritten if stopped.exclusive || !others_unrepeatable() => Remainder::Partial,
+            Progress::WrittenWhole if stopped.exclusive && self.is_unresponsive(now) => Remainder::Partial,
+            Progress::WrittenWhole if stopped.exclusive => Remainder::Late,
+            Progress::PartlyWritten | Progress::WrittenWhole | Progress::Answered => Remainder::Stopped,
+        }
+    }
+
     /// Whether a further request should rather go to another connection.
     pub(super) fn is_crowded(&self, exclusive: bool) -> bool {
         let max = if exclusive || self.outstanding.values().any(|open| open.exclusive) {
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -85,6 +85,20 @@
     pub paused: Vec<EndpointPause>,
 }
 
+/// What remains of an attempt that was stopped, and so what must follow on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Remainder {
+    /// No byte of it was written, and none will be.
+    Nothing,
+    /// It is written, and a STOP follows it.
+    Stopped,
+    /// As [`Remainder::Stopped`], but if it is delivered late it may run beside a repeat of the request. So the
+    /// connection must be closed if the kernel still holds it.
+    Late,
+    /// It is partly written and must not be completed: the connection must be closed.
+    Partial,
+}
+
 /// Why nothing was queued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
@@ -352,11 +366,13 @@
     }
 
     /// Stops an attempt: removes it from the queue if no byte of it was written, or sends STOP to the
-    /// machine. Returns the connection that has something to write.
-    pub fn stop(&mut self, now: Millis, attempt: AttemptKey) -> Option<ConnectionKey> {
+    /// machine. Returns its connection, which may have something to write, and what remains of the attempt.
+    pub fn stop(&mut self, now: Millis, attempt: AttemptKey) -> Option<(ConnectionKey, Remainder)> {
         let (key, id) = self.by_attempt.remove(&attempt)?;
         let connection = self.connections.get_mut(&key)?;
-        if connection.outstanding.remove(&id)?.progress == Progress::NotConnected {
+        let stopped = connection.outstanding.remove(&id)?;
+        let remainder = connection.remainder(now, stopped);
+        if remainder == Remainder::Nothing {
             connection.output.retain(|frame| frame.opens_id.as_ref() != Some(&id));
         } else {
             let bytes = resp::frame(&[b"STOP", id.as_bytes()]);
@@ -370,7 +386,17 @@
             connection.close_id(now, id);
         }
         connection.idle_since = now;
-        Some(key)
+        Some((key, remainder))
+    }
+
+    /// Returns the attempt whose frame is partly written.
+    pub fn partly_written(&self, key: ConnectionKey) -> Option<AttemptKey> {
+        let connection = self.connections.get(&key).filter(|connection| connection.written > 0)?;
+        let id = connection.output.front()?.opens_id.as_ref()?;
+        match connection.outstanding.get(id)?.purpose {
+            Purpose::Attempt(attempt) => Some(attempt),
+            Purpose::Probe | Purpose::Greeting => None,
+        }
     }
 
     /// Whether a connection is established.
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -104,6 +104,8 @@
         WrongName: "wrong_name", "another machine answers there";
         /// The endpoint's machine has restarted since it was dialled.
         Restarted: "restarted", "its machine has started anew";
+        /// An attempt was given up that must not be delivered any more.
+        AttemptGivenUp: "given_up", "an undelivered attempt was given up";
         /// A panic occurred while the connection was served.
         Panic: "panic", "panic";
     }
@@ -181,6 +183,8 @@
         /// The latest send time has passed: the window for a repeat, or the time for a connection to be
         /// established.
         SendWindowExpired: "too_late", "send window expired";
+        /// The window in which the request may be repeated ended while the attempt was partly written.
+        RepeatWindowExpired: "window_over", "window for repeats over";
         /// The answer deadline has passed.
         ClientDeadlineExpired: "out_of_time", "client deadline expired";
         /// The request must not run twice, and an earlier attempt may have run.
@@ -195,7 +199,7 @@
     /// reaching the check is a fault of this process.
     pub fn is_violation(self) -> bool {
         match self {
-            Self::SendWindowExpired | Self::ClientDeadlineExpired => false,
+            Self::SendWindowExpired | Self::RepeatWindowExpired | Self::ClientDeadlineExpired => false,
             Self::UnknownAttempt
             | Self::EndpointLeaving
             | Self::SourceLeaving
--- a/src/reducer/gate.rs
+++ b/src/reducer/gate.rs
@@ -56,6 +56,26 @@
         }
     }
 
+    /// Returns whether the rest of a partly written attempt may be sent now, and counts each denial. An attempt
+    /// arrives with its last byte, so the window for repeats of its request binds that one too.
+    pub fn permit_rest(&mut self, now: Millis, key: AttemptKey) -> Result<(), Withheld> {
+        let pending = self.attempts.get(&key).and_then(|attempt| self.pending.get(&attempt.request_key));
+        let is_over = pending.is_some_and(|pending| {
+            let Repeat::Dedup { window_ms, .. } = self.repeat_policy(pending) else { return false };
+            let begun = |other: &AttemptKey| {
+                let other = self.attempts.get(other).filter(|_| *other != key);
+                other.is_some_and(|other| other.progress != Progress::NotConnected)
+            };
+            let repeats = pending.may_have_run || pending.in_flight.iter().any(begun);
+            repeats && pending.first_sent_at.is_some_and(|at| now - at > window_ms)
+        });
+        if is_over {
+            self.counters.reasons.withheld.add(Withheld::RepeatWindowExpired);
+            return Err(Withheld::RepeatWindowExpired);
+        }
+        Ok(())
+    }
+
     /// Returns whether a request may be refused, which tells its client that a repeat does no harm.
     pub(super) fn may_refuse(&self, pending: &PendingRequest) -> bool {
         let attempts = pending.in_flight.iter().filter_map(|key| self.attempts.get(key));
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -106,6 +106,8 @@
     last_outcome: Option<Outcome>,
     /// Whether an attempt that has ended may have run.
     may_have_run: bool,
+    /// When the first byte of any attempt was written.
+    first_sent_at: Option<Millis>,
     /// Attempts that have not ended.
     in_flight: Vec<AttemptKey>,
     /// If hedging is off: the earliest time to send the next attempt, as one that was given up may still be
@@ -344,6 +346,9 @@
             Input::Progressed { attempt, progress } => {
                 if let Some(attempt) = self.attempts.get_mut(&attempt) {
                     attempt.progress = attempt.progress.max(progress);
+                    if let Some(pending) = self.pending.get_mut(&attempt.request_key) {
+                        pending.first_sent_at.get_or_insert(now);
+                    }
                 }
             }
             Input::Ended { attempt, end } => self.attempt_ended(now, attempt, end),
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -114,6 +114,7 @@
             attempts_made: 0,
             last_outcome: None,
             may_have_run: false,
+            first_sent_at: None,
             in_flight: Vec::new(),
             next_attempt_at: 0.0,
             answer_by,
@@ -291,8 +292,8 @@
         request_done: bool,
     ) {
         let Some(attempt) = self.attempts.get(&key) else { return };
-        // A partly written frame is still written to its end, because other frames follow it on the
-        // connection.
+        // The rest of a partly written frame is discarded with its connection, or written and followed by a
+        // STOP, see [`crate::back::Remainder`].
         let outcome = if attempt.progress == Progress::NotConnected { unsent } else { sent };
         if attempt.progress != Progress::NotConnected {
             self.delay_next_attempt(now, attempt.request_key);
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -1,17 +1,18 @@
 //! Sockets to machines: dialing, reading and writing. [`back`] assigns attempts to connections, and
 //! [`crate::addresses`] chooses the endpoints.
 
-use super::socket::{classify_dial_error, dial, IoStatus};
+use super::socket::{classify_dial_error, dial, IoStatus, PolledSocket};
 use super::{Runtime, Source};
 use crate::addresses::{DialKey, Endpoint, EndpointFailure};
 use crate::api::{CacheId, LoadReport, Outcome};
-use crate::back::{self, ConnectionKey, DialAction, DialError, EndpointPause, SendError};
+use crate::back::{self, ConnectionKey, DialAction, DialError, EndpointPause, Remainder, SendError};
 use crate::reasons::{EndpointClose, Reason as _, Violation};
 use crate::reducer::{AttemptEnd, AttemptKey, Input, OutgoingRequest, Progress};
 use crate::resp::{ProtocolError, SMALL_PART_BYTES};
 use crate::{log_line, trace_event};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// What follows after something was received from a machine.
 enum ReadStep {
@@ -45,6 +46,21 @@
         }
     }
 
+    /// Continues or closes the connection of an attempt that was stopped. What is left of an attempt that must
+    /// not be completed is discarded with its connection, also by the kernel.
+    pub(super) fn attempt_stopped(&mut self, key: ConnectionKey, remainder: Remainder) {
+        let is_unsent = |socket: &PolledSocket| socket.has_unsent_bytes();
+        let must_close = match remainder {
+            Remainder::Nothing | Remainder::Stopped => false,
+            Remainder::Late => self.connection_sockets.get(&key).is_some_and(is_unsent),
+            Remainder::Partial => true,
+        };
+        match must_close {
+            true => self.close_connection(key, EndpointClose::AttemptGivenUp),
+            false => drop(self.runnable.insert(Source::Link(key))),
+        }
+    }
+
     /// Schedules a write on a connection. It happens after all events of the current wake-up are handled, as
     /// one of them may cancel what is queued: the client or the machine may have gone.
     pub(super) fn schedule_write(&mut self, key: ConnectionKey) {
@@ -292,6 +308,12 @@
                     continue;
                 }
             }
+            if let Some(attempt) = self.connections.partly_written(key) {
+                if let Err(reason) = self.reducer.permit_rest(self.now(), attempt) {
+                    trace_event!(self.now(), "attempt_cut_short", attempt, reason = reason.key());
+                    return Some(EndpointClose::AttemptGivenUp);
+                }
+            }
             let now = self.now();
             let socket = self.connection_sockets.get_mut(&key)?;
             let bytes = self.connections.output(key)?;
@@ -340,6 +362,9 @@
         let now = self.now();
         self.answer_memory.release(key);
         if let Some(socket) = self.connection_sockets.remove(&key) {
+            if !self.connections.nothing_in_flight(key) {
+                discard_unsent(&socket);
+            }
             match why {
                 // The connection carries no request, but the machine may send something until it notices the
                 // close; closing the socket at once would reset the connection.
@@ -354,6 +379,7 @@
                 | EndpointClose::NoRoom
                 | EndpointClose::WrongName
                 | EndpointClose::Restarted
+                | EndpointClose::AttemptGivenUp
                 | EndpointClose::Panic => self.close_socket(&socket),
             }
         }
@@ -378,6 +404,7 @@
             | EndpointClose::NotNeeded
             | EndpointClose::NoRoom
             | EndpointClose::Restarted
+            | EndpointClose::AttemptGivenUp
             | EndpointClose::Panic => None,
         };
         // That a machine closes a connection with no request in flight is not a failure of the endpoint.
@@ -403,6 +430,14 @@
     }
 }
 
+/// Makes the close of a socket discard what its kernel buffer holds, so that no attempt on it is delivered after
+/// it has ended. The peer sees a reset.
+fn discard_unsent(socket: &PolledSocket) {
+    if let Err(e) = socket.stream.set_linger(Some(Duration::ZERO)) {
+        log_line!("cannot discard what a connection has not sent: {e}");
+    }
+}
+
 fn log_endpoint_pause(pause: &EndpointPause) {
     let EndpointPause { machine, endpoint, why, pause_ms } = pause;
     log_line!({ machine = %machine, address = %endpoint, outcome = %why }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -602,8 +602,8 @@
             }
             Effect::Send { attempt, machine, request } => self.send_attempt(attempt, &machine, &request),
             Effect::Stop { attempt } => {
-                if let Some(key) = self.connections.stop(now, attempt) {
-                    self.runnable.insert(Source::Link(key));
+                if let Some((key, remainder)) = self.connections.stop(now, attempt) {
+                    self.attempt_stopped(key, remainder);
                 }
             }
             Effect::Probe { machine } => match self.connections.probe(now, &machine) {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,7 +3,7 @@
 
 use frostturn::addresses::Listing;
 use frostturn::api::*;
-use frostturn::back::{ConnectionPool, EndpointEvent, SendError};
+use frostturn::back::{ConnectionPool, EndpointEvent, Remainder, SendError};
 use frostturn::fastcgi::{self, kind, Decoder, ProtocolError, Record};
 use frostturn::front::{ClientEvent, Conn, TimeoutStatus};
 use frostturn::reasons::{AttemptCause, ClientClose, EndpointClose, Refusal};
@@ -578,6 +578,38 @@
     }
 }
 
+/// Closes a connection of the model, and checks what is lost and what moves to other connections.
+fn take_down(
+    pool: &mut ConnectionPool,
+    now: Millis,
+    key: u64,
+    out: &mut BTreeMap<u64, (String, u64)>,
+    progress_of: &BTreeMap<u64, Progress>,
+    wrote: &mut BTreeMap<u64, usize>,
+) {
+    let was_up = pool.is_connected(key);
+    let ended = pool.connection_closed(now, key, None);
+    let lost: BTreeSet<u64> = ended.lost.iter().map(|(attempt, _)| *attempt).collect();
+    for (attempt, progress) in ended.lost {
+        let (_, on) = out.remove(&attempt).expect("the attempt is outstanding");
+        assert_eq!(on, key);
+        assert_eq!(progress, progress_of.get(&attempt).copied().unwrap_or(Progress::NotConnected));
+    }
+    let moved: Vec<u64> = out.iter().filter(|(_, (_, on))| *on == key).map(|(at, _)| *at).collect();
+    assert!(moved.iter().all(|attempt| !lost.contains(attempt)));
+    // Only unsent requests move, and only to connections that aren't up yet.
+    assert!(moved.is_empty() || was_up);
+    assert!(ended.moved.iter().all(|to| !pool.is_connected(*to)));
+    for attempt in moved {
+        let (id, _) = out[&attempt].clone();
+        let to = pool.connection_of(attempt).expect("the attempt is still outstanding");
+        assert!(ended.moved.contains(&to), "each new connection is returned, to be dialed");
+        wrote.entry(to).or_default();
+        out.insert(attempt, (id, to));
+    }
+    wrote.remove(&key);
+}
+
 #[test]
 fn each_attempt_ends_once_and_its_progress_is_what_was_written() {
     fn property(steps: Vec<Step>) -> bool {
@@ -607,8 +639,17 @@
                 Step::Stop { which } => {
                     let Some(attempt) = out.keys().nth(which % out.len().max(1)).copied() else { continue };
                     let key = out.remove(&attempt).map(|(_, key)| key);
-                    assert_eq!(pool.stop(now, attempt), key);
+                    let stopped = pool.stop(now, attempt);
+                    assert_eq!(stopped.map(|(key, _)| key), key);
+                    let progress = progress_of.get(&attempt).copied().unwrap_or(Progress::NotConnected);
+                    let withdrawn = stopped.is_some_and(|(_, left)| left == Remainder::Nothing);
+                    assert_eq!(withdrawn, progress == Progress::NotConnected);
+                    let cut = stopped.is_some_and(|(_, left)| left == Remainder::Partial);
+                    assert_eq!(cut, progress == Progress::PartlyWritten, "what is cut is never completed");
                     assert_eq!(pool.stop(now, attempt), None, "an attempt is stopped once");
+                    if let Some(key) = key.filter(|_| cut) {
+                        take_down(&mut pool, now, key, &mut out, &progress_of, &mut wrote);
+                    }
                 }
                 Step::Up { which } => {
                     pick(which).into_iter().for_each(|key| complete_dial(&mut pool, now, key))
@@ -649,31 +690,7 @@
                 }
                 Step::Down { which } => {
                     let Some(key) = pick(which) else { continue };
-                    let was_up = pool.is_connected(key);
-                    let ended = pool.connection_closed(now, key, None);
-                    let lost: BTreeSet<u64> = ended.lost.iter().map(|(attempt, _)| *attempt).collect();
-                    for (attempt, progress) in ended.lost {
-                        let (_, on) = out.remove(&attempt).expect("the attempt is outstanding");
-                        assert_eq!(on, key);
-                        assert_eq!(
-                            progress,
-                            progress_of.get(&attempt).copied().unwrap_or(Progress::NotConnected)
-                        );
-                    }
-                    let moved: Vec<u64> =
-                        out.iter().filter(|(_, (_, on))| *on == key).map(|(at, _)| *at).collect();
-                    assert!(moved.iter().all(|attempt| !lost.contains(attempt)));
-                    // Only unsent requests move, and only to connections that aren't up yet.
-                    assert!(moved.is_empty() || was_up);
-                    assert!(ended.moved.iter().all(|to| !pool.is_connected(*to)));
-                    for attempt in moved {
-                        let (id, _) = out[&attempt].clone();
-                        let to = pool.connection_of(attempt).expect("the attempt is still outstanding");
-                        assert!(ended.moved.contains(&to), "each new connection is returned, to be dialed");
-                        wrote.entry(to).or_default();
-                        out.insert(attempt, (id, to));
-                    }
-                    wrote.remove(&key);
+                    take_down(&mut pool, now, key, &mut out, &progress_of, &mut wrote);
                 }
                 Step::Wait => now += 200.0,
             }
@@ -872,7 +889,7 @@
         "all connections are in use"
     );
     // An idle connection makes room: it is closed next, before its idle timeout.
-    let idle = pool.stop(5.0, 102).expect("the attempt is outstanding");
+    let (idle, _) = pool.stop(5.0, 102).expect("the attempt is outstanding");
     assert!(pool.send(6.0, 201, &machines[6], &outgoing_request("a")).is_ok_and(|(_, new)| new));
     assert_eq!(pool.expired(6.0), [(idle, EndpointClose::Idle)]);
 }
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -572,3 +572,24 @@
         assert!(contains(&effects, &Effect::Stop { attempt }) && rig.reducer.open_requests() == 0);
     }
 }
+
+/// Guards against a repeat whose first byte is sent within its window and whose last byte leaves after it.
+#[test]
+fn the_rest_of_a_partly_written_repeat_is_withheld_once_its_window_is_over() {
+    const WINDOW_MS: Millis = 1000.0;
+    for (class, denied) in [("keyed", true), ("read", false)] {
+        let mut rig = Rig::new();
+        let (first, _) = sent_attempt(&rig.request(class, 4000.0));
+        rig.step(Input::Progressed { attempt: first, progress: Progress::PartlyWritten });
+        let sent_at = rig.now;
+        let alone = rig.reducer.permit_rest(sent_at + WINDOW_MS + 1.0, first);
+        assert_eq!(alone, Ok(()), "{class}: no other attempt may have run");
+        rig.step(Input::Progressed { attempt: first, progress: Progress::WrittenWhole });
+        let lost = rig.connection_lost(first, Progress::WrittenWhole);
+        let (second, _) = sent_attempt(&[lost, rig.wait(60.0)].concat());
+        rig.step(Input::Progressed { attempt: second, progress: Progress::PartlyWritten });
+        assert_eq!(rig.reducer.permit_rest(sent_at + WINDOW_MS, second), Ok(()), "{class}");
+        let late = rig.reducer.permit_rest(sent_at + WINDOW_MS + 1.0, second);
+        assert_eq!(late == Err(Withheld::RepeatWindowExpired), denied, "{class}: {late:?}");
+    }
+}
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -5,6 +5,8 @@
 
 use frostturn::resp;
 use rig::{next_request_at_any, sleep_ms, wait_until, Client, Endpoint, Event, Router, RouterSetup};
+use socket2::{Domain, Socket, Type};
+use std::io::Write;
 
 /// Returns a site whose operator's file requires a greeting on each connection. Nothing is sent before the
 /// greeting is answered, so that a test decides when requests are sent.
@@ -158,3 +160,79 @@
     let log = router.terminate();
     assert!(log.contains(" served=2 ") && log.contains(" answers_late=2 "), "{log}");
 }
+
+/// A listener that accepts connections and reads nothing until it is told to.
+struct HangingEndpoint {
+    listener: std::net::TcpListener,
+    connections: Vec<std::net::TcpStream>,
+}
+
+impl HangingEndpoint {
+    /// Bytes of the kernel's receive buffer: a fraction of one request.
+    const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(Self::RECEIVE_BUFFER_BYTES).expect("set");
+        socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(128).expect("it listens");
+        Self { listener: socket.into(), connections: Vec::new() }
+    }
+
+    /// Accepts all connections and reads each to its end, or until nothing more arrives. Returns the ids of the
+    /// requests that arrived whole.
+    fn read_all(&mut self) -> Vec<String> {
+        self.listener.set_nonblocking(true).expect("set");
+        self.connections.extend(std::iter::from_fn(|| self.listener.accept().ok()).map(|(stream, _)| stream));
+        let read = |stream: &std::net::TcpStream| {
+            stream.set_nonblocking(false).expect("set");
+            stream.set_read_timeout(Some(std::time::Duration::from_millis(300))).expect("set");
+            let (mut decoder, mut buffer, mut ids) = (resp::Decoder::default(), [0; 64 * 1024], Vec::new());
+            while let Ok(bytes @ 1..) = std::io::Read::read(&mut &*stream, &mut buffer) {
+                decoder.feed(&buffer[..bytes]);
+                while let Ok(Some(frame)) = decoder.next_frame() {
+                    if frame[0] == b"REQ" {
+                        ids.push(String::from_utf8_lossy(&frame[1]).into_owned());
+                    }
+                }
+            }
+            ids
+        };
+        self.connections.iter().flat_map(read).collect()
+    }
+}
+
+/// Guards against an attempt that is given up half written and completed after the window for repeats.
+#[test]
+fn a_keyed_request_given_up_half_written_is_not_delivered_after_its_window() {
+    const UPLOADS: u16 = 28;
+    /// The site's window for repeats is 150 ms; the endpoint hangs well beyond it.
+    const HANG_MS: u64 = 1500;
+    /// Larger than what the kernels hold for one connection.
+    const BODY_BYTES: usize = 60_000;
+    let (mut hanging, serving) = (HangingEndpoint::new(), Endpoint::new());
+    let mut setup = RouterSetup::new(&[("e-2", &serving)]);
+    setup.endpoints.insert(0, ("e-1", hanging.listener.local_addr().expect("bound").to_string()));
+    let router = Router::start("halfwritten", &setup);
+    // Objects whose home is the endpoint that hangs are not served.
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::connect(&router)).collect();
+    for (at, client) in clients.iter_mut().enumerate() {
+        for request in 1..=UPLOADS {
+            let id = 1000 * (at as u64 + 1) + u64::from(request);
+            let bytes =
+                Client::request_bytes_with_timeout(800, request, "keyed", id, 0xab, &vec![7; BODY_BYTES]);
+            client.stream.write_all(&bytes).expect("written");
+        }
+    }
+    sleep_ms(HANG_MS);
+    for client in &mut clients {
+        for request in 1..=UPLOADS {
+            client.answer(request).expect("each is answered");
+        }
+    }
+    let given_up = router.log_text().matches("an undelivered attempt was given up").count();
+    let late = hanging.read_all();
+    let log = router.terminate();
+    assert_eq!(late, [""; 0], "delivered {HANG_MS} ms after the first attempt: {log}");
+    assert!(given_up > 0, "none was half written: {log}");
+}
