Keep a connection open while its client is seen to read, however slowly

Cause: at the drain's term, a client of 1 MB/s would have read everything, and that counted as read although the kernel held 0.6 MB.

Change: the kernel is asked how much it holds unsent; while that becomes less, the connection stays open and refusals are answered.

A client that reads nothing is let go of as before.

--- a/src/front.rs
+++ b/src/front.rs
@@ -7,7 +7,7 @@
 use crate::fastcgi::{self, kind, status, Decoder, ProtocolError, Record};
 use crate::reasons::{ClientClose, Refusal};
 use crate::reducer::{IncomingRequest, Reply};
-pub use read_progress::ReadProgress;
+pub use read_progress::{ReadProgress, Unsent};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Most requests that may be open on one connection.
@@ -460,9 +460,9 @@
         &self.read_progress
     }
 
-    /// Records whether the kernel holds bytes that it has not sent to the client.
-    pub fn checked_kernel(&mut self, now: Millis, has_unsent: bool) {
-        self.read_progress.checked_kernel(now, has_unsent);
+    /// Records how many bytes the kernel holds that it has not sent to the client.
+    pub fn checked_kernel(&mut self, now: Millis, unsent: Unsent) {
+        self.read_progress.checked_kernel(now, unsent);
     }
 
     /// Returns when to ask next whether the kernel holds unsent bytes; `None` while answers are owed.
@@ -477,17 +477,11 @@
     }
 
     /// Whether the connection may be closed at the end of a drain: no answer is owed, and the client has read
-    /// its answers, as far as this side can tell, or reads slower than any client of the platform.
+    /// its answers, as far as this side can tell, or reads nothing.
     pub fn can_close_at_deadline(&self, now: Millis) -> bool {
         self.all_answers_sent() && self.read_progress.may_stop_waiting(now)
     }
 
-    /// Whether a connection whose kernel buffer holds unsent bytes is kept although it is idle: its client has
-    /// accepted bytes within the write timeout, so it may just be slow.
-    pub fn may_still_read(&self, now: Millis) -> bool {
-        now - self.last_write_at <= self.write_timeout_ms
-    }
-
     /// Whether the connection may be closed without loss: no request is open, no answer unwritten and no
     /// partial record buffered.
     pub fn can_close_cleanly(&self, now: Millis) -> bool {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -1,5 +1,6 @@
 //! Client sockets: accepting, reading, writing, shedding and closing. [`front`] implements the protocol.
 
+use super::drains::check_kernel;
 use super::socket::{IoStatus, PolledSocket};
 use super::{Runtime, Source};
 use crate::api::Millis;
@@ -38,6 +39,12 @@
     }
 }
 
+/// Whether the client of an idle connection still reads what was written to it.
+fn is_still_read(now: Millis, socket: &PolledSocket, conn: &mut Conn) -> bool {
+    check_kernel(now, socket, conn);
+    conn.read_progress().is_reading(now)
+}
+
 /// The result of one round of accepting connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AcceptOutcome {
@@ -139,10 +146,11 @@
         let mut spare: Vec<_> = spare.collect();
         spare.sort_unstable();
         for (_, key) in spare {
-            let in_use = |(socket, conn): &(PolledSocket, Conn)| {
+            let in_use = |(socket, conn): &mut (PolledSocket, Conn)| {
+                check_kernel(now, socket, conn);
                 conn.shed_priority(now).is_none() || !conn.can_close(now) || socket.has_unsent_bytes()
             };
-            if self.read_client_now(key).is_none() && self.clients.get(&key).is_none_or(in_use) {
+            if self.read_client_now(key).is_none() && self.clients.get_mut(&key).is_none_or(in_use) {
                 continue;
             }
             self.reducer.counters.clients_shed += 1;
@@ -160,8 +168,7 @@
             let before = conn.buffered_bytes();
             match conn.check_timeouts(now) {
                 TimeoutStatus::Ok => {}
-                TimeoutStatus::Connection(ClientClose::Idle)
-                    if conn.may_still_read(now) && socket.has_unsent_bytes() => {}
+                TimeoutStatus::Connection(ClientClose::Idle) if is_still_read(now, socket, conn) => {}
                 TimeoutStatus::Connection(reason) if conn.can_close_cleanly(now) => idle.push((*key, reason)),
                 TimeoutStatus::Connection(reason) => expired.push((*key, reason)),
                 TimeoutStatus::Requests(late) => {
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -20,13 +20,16 @@
 /// Reads per connection, at most, that discard received data before a remaining connection is closed at
 /// process exit.
 const MAX_FINAL_READS: usize = 16;
+/// Time after the start of a drain for which a client is waited for that reads and goes on sending requests,
+/// as it can do without end.
+const MAX_READ_WAIT_MS: Millis = 30_000.0;
 /// Interval between two log lines about the progress of a drain.
 const DRAIN_LOG_INTERVAL_MS: Millis = 1000.0;
 
-/// Asks the kernel whether it holds unsent answers, if all answers are written and that is due.
-fn check_kernel(now: Millis, socket: &PolledSocket, conn: &mut Conn) {
+/// Asks the kernel how much it holds unsent, if all answers are written and that is due.
+pub(super) fn check_kernel(now: Millis, socket: &PolledSocket, conn: &mut Conn) {
     if conn.next_read_check().is_some_and(|at| at <= now) {
-        conn.checked_kernel(now, socket.has_unsent_bytes());
+        conn.checked_kernel(now, socket.unsent(conn.read_progress().unsent()));
     }
 }
 
@@ -77,7 +80,9 @@
         let now = self.now();
         let Some((socket, conn)) = self.clients.get_mut(&key) else { return };
         check_kernel(now, socket, conn);
-        if conn.can_close_at_deadline(now) {
+        let evacuated_at = self.reducer.service().evacuating_since();
+        let waited_too_long = evacuated_at.is_some_and(|at| now - at > MAX_READ_WAIT_MS);
+        if conn.can_close_at_deadline(now) || (waited_too_long && conn.all_answers_sent()) {
             self.close_client(key, ClientClose::Draining);
         }
     }
--- a/src/runtime/lingering.rs
+++ b/src/runtime/lingering.rs
@@ -8,14 +8,17 @@
 use super::socket::{IoStatus, PolledSocket};
 use super::{Runtime, Source};
 use crate::api::Millis;
+use crate::front::Unsent;
 use crate::trace_event;
 use std::net::Shutdown;
 
 /// Time for the peer to close its side.
 const LINGER_MS: Millis = 500.0;
-/// Time for a peer that reads 1 MB/s, the slowest, to read what the kernel holds: up to 4 MB by default
-/// (net.ipv4.tcp_wmem).
+/// Time for a peer that reads 1 MB/s to read what the kernel holds: up to 4 MB by default
+/// (net.ipv4.tcp_wmem). One that reads slower gets it again as long as it is seen to read.
 const UNSENT_LINGER_MS: Millis = 4000.0;
+/// Longest time for which a peer is waited for, however slowly it reads.
+const MAX_LINGER_MS: Millis = 30_000.0;
 /// Bytes discarded per connection, at most, as a client may send without end. Further input is left unread.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Share of the descriptors reserved for lingering connections when the number of clients is at its limit.
@@ -27,8 +30,29 @@
     pub(super) socket: PolledSocket,
     deadline: Millis,
     remaining_bytes: usize,
-    /// Whether the kernel held unsent output when the write half was shut down.
-    had_unsent: bool,
+    /// Unsent output that the kernel held when it was last checked.
+    unsent: Unsent,
+    /// When the connection is closed at the latest.
+    last_deadline: Millis,
+}
+
+impl Lingering {
+    /// Whether the kernel held unsent output when it was last checked.
+    fn has_unsent(&self) -> bool {
+        self.unsent != Unsent::Nothing
+    }
+
+    /// Sets a new deadline if the peer has read since the last one. Returns false if it has not.
+    fn extend(&mut self, now: Millis) -> bool {
+        if !self.has_unsent() {
+            return false;
+        }
+        let before = self.unsent;
+        self.unsent = self.socket.unsent(before);
+        let wait_ms = if self.has_unsent() { UNSENT_LINGER_MS } else { LINGER_MS };
+        self.deadline = (now + wait_ms).min(self.last_deadline);
+        self.unsent < before && self.deadline > now
+    }
 }
 
 /// Why a lingering connection is closed.
@@ -45,13 +69,15 @@
 impl Runtime {
     /// Starts the lingering close of a socket, which stays registered with the event loop under its source.
     pub(super) fn linger(&mut self, source: Source, socket: PolledSocket) {
-        let had_unsent = socket.has_unsent_bytes();
+        let unsent = socket.unsent(Unsent::Nothing);
         if socket.stream.shutdown(Shutdown::Write).is_err() {
             self.close_socket(&socket); // The peer has disconnected already.
             return;
         }
-        let deadline = self.now() + if had_unsent { UNSENT_LINGER_MS } else { LINGER_MS };
-        let lingering = Lingering { socket, deadline, remaining_bytes: MAX_DISCARDED_BYTES, had_unsent };
+        let now = self.now();
+        let deadline = now + if unsent == Unsent::Nothing { LINGER_MS } else { UNSENT_LINGER_MS };
+        let (remaining_bytes, last_deadline) = (MAX_DISCARDED_BYTES, now + MAX_LINGER_MS);
+        let lingering = Lingering { socket, deadline, remaining_bytes, unsent, last_deadline };
         self.lingering.insert(source, lingering);
         self.runnable.insert(source);
         self.limit_lingering();
@@ -64,7 +90,8 @@
         let limit = reserved + self.reducer.max_client_connections().saturating_sub(self.clients.len());
         while self.lingering.len() > limit {
             let order = |one: &Lingering, other: &Lingering| {
-                one.had_unsent.cmp(&other.had_unsent).then(one.deadline.total_cmp(&other.deadline))
+                let (one_unsent, other_unsent) = (one.has_unsent(), other.has_unsent());
+                one_unsent.cmp(&other_unsent).then(one.deadline.total_cmp(&other.deadline))
             };
             let first = self.lingering.iter().min_by(|(_, one), (_, other)| order(one, other));
             let Some(first) = first.map(|(source, _)| *source) else { break };
@@ -103,14 +130,15 @@
 
     /// Closes the connections whose deadline has passed.
     pub(super) fn expire_lingering(&mut self, now: Millis) {
+        let due = self.lingering.iter_mut().filter(|(_, one)| one.deadline <= now);
         let expired: Vec<Source> =
-            self.lingering.iter().filter(|(_, one)| one.deadline <= now).map(|(source, _)| *source).collect();
+            due.filter_map(|(source, one)| (!one.extend(now)).then_some(*source)).collect();
         expired.into_iter().for_each(|source| self.drop_lingering(source, LingerEnd::Deadline));
     }
 
     fn drop_lingering(&mut self, source: Source, why: LingerEnd) {
         if let Some(lingering) = self.lingering.remove(&source) {
-            let (had_unsent, unread_limit_reached) = (lingering.had_unsent, lingering.remaining_bytes == 0);
+            let (had_unsent, unread_limit_reached) = (lingering.has_unsent(), lingering.remaining_bytes == 0);
             trace_event!(self.now(), "linger_ended", ?source, ?why, had_unsent, unread_limit_reached);
             self.close_socket(&lingering.socket);
         }
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -4,6 +4,7 @@
 use crate::addresses::{Endpoint, EndpointFailure};
 use crate::back::DialError;
 use crate::errno::{self, ErrorClass};
+use crate::front::Unsent;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -17,6 +18,12 @@
 /// Length of the listen queue, in connections. Hundreds may arrive together, and a client that finds the
 /// queue full retries only after a second.
 const BACKLOG: i32 = 1024;
+/// Precision of [`PolledSocket::unsent`], in bytes.
+const UNSENT_STEP_BYTES: u32 = 16 * 1024;
+/// More steps than a kernel buffer has, which is 4 MB by default (net.ipv4.tcp_wmem).
+const MAX_UNSENT_STEPS: u32 = 1024;
+/// The value of TCP_NOTSENT_LOWAT that means the system's default.
+const SYSTEM_DEFAULT: u32 = 0;
 
 /// A socket registered with the event loop. Events are edge-triggered, so the last known readiness is kept
 /// here.
@@ -125,9 +132,46 @@
     /// With TCP_NOTSENT_LOWAT (tcp(7)) at one byte, a socket polls as writable only if nothing is unsent.
     pub(super) fn has_unsent_bytes(&self) -> bool {
         const ANY_BYTE: u32 = 1;
-        const SYSTEM_DEFAULT: u32 = 0;
+        self.holds_unsent(ANY_BYTE)
+    }
+
+    /// Returns how many bytes the kernel holds that it has not sent, in steps of [`UNSENT_STEP_BYTES`].
+    /// `previous` is what it held before, from which the search begins.
+    pub(super) fn unsent(&self, previous: Unsent) -> Unsent {
+        if !self.has_unsent_bytes() {
+            return Unsent::Nothing;
+        }
+        let (mut low, mut high) = (0, MAX_UNSENT_STEPS);
+        if let Unsent::Below(bytes) = previous {
+            let steps = bytes / UNSENT_STEP_BYTES;
+            if self.holds_unsent(bytes) {
+                low = steps;
+            } else if steps > 0 && self.holds_unsent(bytes - UNSENT_STEP_BYTES) {
+                return previous;
+            } else {
+                high = steps.max(1);
+            }
+        } else if self.holds_unsent(high * UNSENT_STEP_BYTES) {
+            return Unsent::BufferFull;
+        }
+        // At least `low` steps are unsent, and fewer than `high`, unless the buffer is full.
+        while high - low > 1 {
+            let middle = (low + high) / 2;
+            match self.holds_unsent(middle * UNSENT_STEP_BYTES) {
+                true => low = middle,
+                false => high = middle,
+            }
+        }
+        match high {
+            MAX_UNSENT_STEPS => Unsent::BufferFull,
+            steps => Unsent::Below(steps * UNSENT_STEP_BYTES),
+        }
+    }
+
+    /// Whether the kernel holds at least this many unsent bytes, or its buffer is nearly full.
+    fn holds_unsent(&self, bytes: u32) -> bool {
         const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
-        if self.stream.set_tcp_notsent_lowat(ANY_BYTE).is_err() {
+        if self.stream.set_tcp_notsent_lowat(bytes).is_err() {
             return false;
         }
         let polled = poll(&mut [PollFd::new(&*self.stream, PollFlags::OUT)], Some(&NO_WAIT));
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -67,6 +67,50 @@
     }
 }
 
+/// Guards against a drain that half-closes a connection whose client reads slower than 1 MB/s and goes on
+/// asking, because a client of that rate would have read everything.
+#[test]
+fn a_client_that_reads_less_than_a_megabyte_a_second_loses_no_request_during_a_drain() {
+    const BYTES_PER_MS: usize = SLOWEST_RATE * 2 / 5;
+    /// The client asks until its answers are nearly read, beyond the end of the drain.
+    const LATE_REQUESTS: u16 = 12;
+    const REQUEST_INTERVAL_MS: u64 = 200;
+    let (router, answers) = start("slowerreaderdrain", 256);
+    let mut client = SlowClient::connect(&router, BYTES_PER_MS, None);
+    (1..=FIRST).for_each(|number| client.send(number));
+    wait_until("the endpoint has answered", || answers.answered() >= usize::from(FIRST));
+    sleep_ms(150);
+    assert_eq!(operator_call(&router.operator_address(), "POST", "/api/evacuate", ""), 200);
+    // Refused, and so small, once the drain is 1.8 s old.
+    sleep_ms(1900);
+    for number in FIRST + 1..=FIRST + LATE_REQUESTS {
+        client.send(number);
+        sleep_ms(REQUEST_INTERVAL_MS);
+    }
+    let (received, unanswered) = client.finish(CLOSE_RACE);
+    assert_nothing_lost(&received, &unanswered, "drain");
+    assert_eq!(received.answers.len(), usize::from(FIRST + LATE_REQUESTS));
+    router.terminate();
+}
+
+/// Guards against an idle timeout that closes a connection whose client still reads and then asks again.
+#[test]
+fn a_slow_reader_may_ask_again_after_the_idle_timeout() {
+    const BYTES_PER_MS: usize = SLOWEST_RATE / 4;
+    /// The idle timeout and the write timeout are over, the answers are not read yet.
+    const SENT_LATE_MS: u64 = 6900;
+    let (router, answers) = start("slowreaderagain", 256);
+    let mut client = SlowClient::connect(&router, BYTES_PER_MS, None);
+    (1..=FIRST).for_each(|number| client.send(number));
+    wait_until("the endpoint has answered", || answers.answered() >= usize::from(FIRST));
+    sleep_ms(SENT_LATE_MS);
+    client.send(FIRST + 1);
+    let (received, unanswered) = client.finish(CLOSE_RACE);
+    assert_nothing_lost(&received, &unanswered, "idle");
+    assert_eq!(received.answers.len(), usize::from(FIRST) + 1);
+    router.terminate();
+}
+
 /// Guards against a process that exits while clients read: the abort would be answered by a reset.
 #[test]
 fn a_slow_reader_that_aborts_a_request_after_sigterm_loses_no_other_answer() {
