Read a smaller portion of a client in turn, so that a flood delays no one

Cause: a turn of 512 KB reported an abort for each, and each searched those before it. Ruled out: the log, which is limited.

--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -16,7 +16,7 @@
 
 /// Bytes read from one client before other sockets are served: a client that sends at full speed delays others
 /// by the time that one such portion takes.
-const MAX_READ_BYTES: usize = 512 * 1024;
+const MAX_READ_BYTES: usize = 64 * 1024;
 /// Bytes read from a client before a request of its is refused for lack of memory: more than it may have open.
 const MAX_READ_OUT_BYTES: usize = 4 << 20;
 /// Connections accepted before other sockets are served.
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -25,7 +25,7 @@
 }
 
 /// Once it has read more bytes than this, a connection yields to other sockets.
-const MAX_READ_BYTES: usize = 512 * 1024;
+const MAX_READ_BYTES: usize = 128 * 1024;
 
 impl Runtime {
     /// Reports a probe that could not be sent, or whose connection was lost.
