Let the frames of a request's attempts share its body

From 4 KB on a frame holds its head and refers to the body.

The new test cuts the writes of such a frame at 1, 7 and 4,096 bytes.

--- a/src/back/connection.rs
+++ b/src/back/connection.rs
@@ -1,6 +1,7 @@
 //! State of one connection to a machine: the frames that are queued or outstanding on it, how far each has
 //! come, and the reading of the machine's answers.
 
+use super::frame::Frame;
 use super::wire::{parse_cache_status, Fields};
 use super::{
     EndpointEvent, Remainder, ANSWER_STALL_MS, ANSWER_TIMEOUT_MS, CLOSED_IDS_KEPT, CLOSED_ID_LIFETIME_MS,
@@ -8,7 +9,7 @@
 };
 use crate::addresses::{AddressTable, DialRace, Endpoint};
 use crate::api::*;
-use crate::reducer::{Answer, AttemptKey, OutgoingRequest, Progress};
+use crate::reducer::{Answer, AttemptKey, Progress};
 use crate::resp::{Decoder, ProtocolError};
 use std::collections::{HashMap, VecDeque};
 
@@ -23,21 +24,6 @@
     Greeting,
 }
 
-#[derive(Clone, Debug)]
-pub(super) struct Frame {
-    pub(super) bytes: Vec<u8>,
-    /// The attempt that this frame carries, if any: its time limit is encoded again when the frame is
-    /// written.
-    pub(super) outgoing: Option<OutgoingRequest>,
-    /// The id under which an answer is expected; `None` for STOP.
-    pub(super) opens_id: Option<String>,
-    /// The attempt must not be repeated, so it should not share its connection: a fault of another answer
-    /// would cost it its own.
-    pub(super) exclusive: bool,
-    /// How often the frame was moved from a connection that closed.
-    pub(super) moves: u8,
-}
-
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) machine: CacheId,
--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -145,13 +145,7 @@
             connection
                 .outstanding
                 .insert(tag.clone(), Outstanding { purpose: Purpose::Greeting, progress, exclusive: false });
-            connection.output.push_front(Frame {
-                bytes,
-                outgoing: None,
-                opens_id: Some(tag),
-                exclusive: false,
-                moves: 0,
-            });
+            connection.output.push_front(Frame::command(bytes, Some(tag)));
             connection.greeting_deadline = Some(now + greeting_ms);
         }
         let mut actions = Vec::new();
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -7,6 +7,7 @@
 
 mod connection;
 mod dials;
+mod frame;
 mod wire;
 
 use crate::addresses::{AddressSettings, AddressTable, DialKey, Endpoint, EndpointFailure, Listing};
@@ -14,10 +15,10 @@
 use crate::reasons::EndpointClose;
 use crate::reducer::{Answer, AttemptKey, OutgoingRequest, Progress};
 use crate::resp::{self, ProtocolError};
-use connection::{Connection, Frame, Outstanding, Purpose};
+use connection::{Connection, Outstanding, Purpose};
 use dials::pause_endpoint;
+use frame::Frame;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use wire::{encode_request, wire_limit_ms};
 
 /// A connection with unanswered requests that has received nothing for this long gets no further ones: its
 /// machine may have vanished without closing it. A new connection shows whether it has.
@@ -254,15 +255,7 @@
         machine: &CacheId,
         outgoing: &OutgoingRequest,
     ) -> Result<(ConnectionKey, bool), SendError> {
-        let id = outgoing.request.id.clone();
-        let frame = Frame {
-            bytes: encode_request(outgoing, outgoing.fetch.timeout_ms),
-            outgoing: Some(outgoing.clone()),
-            opens_id: Some(id),
-            exclusive: outgoing.exclusive_connection,
-            moves: 0,
-        };
-        self.queue(now, Purpose::Attempt(attempt), machine, frame, true)
+        self.queue(now, Purpose::Attempt(attempt), machine, Frame::attempt(outgoing), true)
     }
 
     /// Queues a probe, like [`ConnectionPool::send`].
@@ -270,7 +263,7 @@
         self.next_probe += 1;
         let tag = format!("probe{}", self.next_probe);
         let bytes = resp::frame(&[b"STAT", tag.as_bytes()]);
-        let frame = Frame { bytes, outgoing: None, opens_id: Some(tag), exclusive: false, moves: 0 };
+        let frame = Frame::command(bytes, Some(tag));
         self.queue(now, Purpose::Probe, machine, frame, true)
     }
 
@@ -376,13 +369,7 @@
             connection.output.retain(|frame| frame.opens_id.as_ref() != Some(&id));
         } else {
             let bytes = resp::frame(&[b"STOP", id.as_bytes()]);
-            connection.output.push_back(Frame {
-                bytes,
-                outgoing: None,
-                opens_id: None,
-                exclusive: false,
-                moves: 0,
-            });
+            connection.output.push_back(Frame::command(bytes, None));
             connection.close_id(now, id);
         }
         connection.idle_since = now;
@@ -433,11 +420,7 @@
         else {
             return;
         };
-        if let Some(outgoing) = &frame.outgoing {
-            if wire_limit_ms(outgoing.fetch.timeout_ms) != wire_limit_ms(limit_ms) {
-                frame.bytes = encode_request(outgoing, limit_ms);
-            }
-        }
+        frame.set_time_limit(limit_ms);
     }
 
     /// Removes the next frame, no byte of which was written.
@@ -461,7 +444,7 @@
             let id = frame.opens_id.as_ref().and_then(|id| connection.outstanding.get(id));
             connection.greeting_deadline.is_none() || id.is_some_and(|open| open.purpose == Purpose::Greeting)
         };
-        connection.output.front().filter(may_send).map(|frame| &frame.bytes[connection.written..])
+        connection.output.front().filter(may_send).map(|frame| frame.rest(connection.written))
     }
 
     /// Records that `bytes` of the output were written. Returns the attempt that has progressed by it.
@@ -469,7 +452,7 @@
         let connection = self.connections.get_mut(&key)?;
         connection.written += bytes;
         let frame = connection.output.front()?;
-        let complete = connection.written >= frame.bytes.len();
+        let complete = connection.written >= frame.len();
         let progress = if complete { Progress::WrittenWhole } else { Progress::PartlyWritten };
         let outstanding = frame.opens_id.as_ref().and_then(|id| connection.outstanding.get_mut(id));
         let purpose = outstanding.map(|open| {
--- a/src/back/wire.rs
+++ b/src/back/wire.rs
@@ -1,5 +1,6 @@
 //! Encoding and decoding of the fields in frames.
 
+use super::frame::SHARED_BODY_BYTES;
 use crate::api::{CacheStatus, LoadReport, Millis, Retention};
 use crate::config;
 use crate::reducer::OutgoingRequest;
@@ -54,7 +55,7 @@
     (limit_ms > 0.0).then(|| limit_ms.ceil() as u64)
 }
 
-/// Encodes a request with the given time limit.
+/// Encodes a request with the given time limit, without its body and what follows if the body is shared.
 pub(super) fn encode_request(outgoing: &OutgoingRequest, limit_ms: Millis) -> Vec<u8> {
     let (request, fetch) = (&outgoing.request, &outgoing.fetch);
     let mut fields = format!("cls={}", request.class);
@@ -94,5 +95,9 @@
     if let Some(key) = &request.idempotency_key {
         field("nonce", key.to_string());
     }
-    resp::frame(&[b"REQ", request.id.as_bytes(), fields.as_bytes(), &request.body])
+    let head: [&[u8]; 3] = [b"REQ", request.id.as_bytes(), fields.as_bytes()];
+    match request.body.len() >= SHARED_BODY_BYTES {
+        true => resp::frame_head(&head, request.body.len()),
+        false => resp::frame(&[head[0], head[1], head[2], &request.body]),
+    }
 }
--- a/src/resp.rs
+++ b/src/resp.rs
@@ -38,6 +38,9 @@
     }
 }
 
+/// What follows each part of a frame.
+pub const PART_END: &[u8] = b"\r\n";
+
 /// Incremental decoder from bytes to frames.
 #[derive(Debug, Default)]
 pub struct Decoder {
@@ -170,13 +173,28 @@
     }
 }
 
+/// Encodes one frame up to the content of its last part, which is this long. The content and [`PART_END`] must
+/// follow.
+pub fn frame_head(parts: &[&[u8]], last_part_bytes: usize) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", parts.len() + 1).into_bytes();
+    for part in parts {
+        push_part(&mut out, part);
+    }
+    out.extend_from_slice(format!("${last_part_bytes}\r\n").as_bytes());
+    out
+}
+
+fn push_part(out: &mut Vec<u8>, part: &[u8]) {
+    out.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
+    out.extend_from_slice(part);
+    out.extend_from_slice(PART_END);
+}
+
 /// Encodes one frame.
 pub fn frame(parts: &[&[u8]]) -> Vec<u8> {
     let mut out = format!("*{}\r\n", parts.len()).into_bytes();
     for part in parts {
-        out.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
-        out.extend_from_slice(part);
-        out.extend_from_slice(b"\r\n");
+        push_part(&mut out, part);
     }
     out
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -1076,3 +1076,27 @@
     assert_eq!(conn.take_requests(1200.0, true), []);
     assert_eq!(conn.owed_answers(), 1);
 }
+#[test]
+fn a_large_body_is_written_in_order_behind_its_head_however_the_writes_are_cut() {
+    let mut outgoing = outgoing_request("0000000000000001");
+    let body: Vec<u8> = (0..50_000_u32).map(|at| (at % 251) as u8).collect();
+    let request = IncomingRequest { body: body.clone(), ..(*outgoing.request).clone() };
+    outgoing.request = request.into();
+    for step in [1, 7, 4096, usize::MAX] {
+        let (mut pool, machine) = (connection_pool(), CacheId::from("m"));
+        let (key, _) = pool.send(0.0, 1, &machine, &outgoing).expect("queued");
+        complete_dial(&mut pool, 1.0, key);
+        let (mut written, mut last) = (Vec::new(), None);
+        while let Some(bytes) = pool.output(key) {
+            let bytes = bytes[..bytes.len().min(step)].to_vec();
+            assert!(!bytes.is_empty() && last != Some(Progress::WrittenWhole));
+            written.extend_from_slice(&bytes);
+            last = pool.wrote(2.0, key, bytes.len()).map(|(_, progress)| progress);
+        }
+        assert_eq!(last, Some(Progress::WrittenWhole));
+        let mut decoder = resp::Decoder::default();
+        decoder.feed(&written);
+        let frame = decoder.next_frame().expect("well-formed").expect("whole");
+        assert_eq!((frame[1].as_slice(), &frame[3]), (&b"0000000000000001"[..], &body), "{step}");
+    }
+}
