--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -92,6 +92,9 @@
     Exit,
 }
 
+/// The place of a timer: its due time in microseconds, and its number.
+type TimerKey = (u64, u64);
+
 /// A request whose final answer is still owed.
 #[derive(Debug)]
 struct PendingRequest {
@@ -115,6 +118,8 @@
     next_attempt_at: Millis,
     /// The answer deadline.
     answer_by: Millis,
+    /// The timer of the answer deadline.
+    deadline_timer: TimerKey,
 }
 
 /// An attempt that has not ended.
@@ -135,6 +140,8 @@
     progress: Progress,
     /// The request to send, while it waits until an earlier attempt is certain to have ended.
     delayed: Option<OutgoingRequest>,
+    /// The timers that end with the attempt.
+    timers: Vec<TimerKey>,
 }
 
 /// The start of a machine that started after its router.
@@ -175,7 +182,7 @@
     attempts: BTreeMap<AttemptKey, PendingAttempt>,
     next_attempt: AttemptKey,
     /// Timers by due time, in microseconds, and order of creation.
-    timers: BTreeMap<(u64, u64), Timer>,
+    timers: BTreeMap<TimerKey, Timer>,
     next_timer: u64,
     /// Bytes of answers that have not been sent yet, per client connection and in total.
     unsent_bytes: HashMap<u64, usize>,
@@ -389,9 +396,25 @@
     }
 
     /// Sets a timer. Timers with equal times run in the order in which they were set.
-    fn set_timer(&mut self, when: Millis, timer: Timer) {
+    fn set_timer(&mut self, when: Millis, timer: Timer) -> TimerKey {
         self.next_timer += 1;
-        self.timers.insert(((when.max(0.0) * 1000.0).ceil() as u64, self.next_timer), timer);
+        let key = ((when.max(0.0) * 1000.0).ceil() as u64, self.next_timer);
+        self.timers.insert(key, timer);
+        key
+    }
+
+    /// Sets a timer that is removed at the end of an attempt. Thousands of requests may end each second, long
+    /// before their timers are due.
+    fn set_attempt_timer(&mut self, when: Millis, attempt: AttemptKey, timer: Timer) {
+        let key = self.set_timer(when, timer);
+        if let Some(attempt) = self.attempts.get_mut(&attempt) {
+            attempt.timers.push(key);
+        }
+    }
+
+    /// Returns the number of timers that are set.
+    pub fn timers_set(&self) -> usize {
+        self.timers.len()
     }
 
     /// Hands all queued events to the decision module and applies its actions, until no event is left.
@@ -422,7 +445,7 @@
                     self.cancel_attempt(now, key, Outcome::Cancelled, Outcome::Moot, false);
                 }
             }
-            Action::Timer { delay_ms, token } => self.set_timer(now + delay_ms, Timer::Policy(token)),
+            Action::Timer { delay_ms, token } => drop(self.set_timer(now + delay_ms, Timer::Policy(token))),
             Action::Probe { cache } => {
                 if self.machines.contains_key(&cache) {
                     self.counters.probes += 1;
@@ -487,7 +510,7 @@
                     + ANSWER_BEFORE_KILL_MS;
                 self.effects.push(Effect::Exit { by: kill_at - FLUSH_BEFORE_KILL_MS });
             }
-            Timer::Exit => self.set_timer(now + 5.0, Timer::Exit),
+            Timer::Exit => drop(self.set_timer(now + 5.0, Timer::Exit)),
         }
     }
 }
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -118,9 +118,9 @@
             in_flight: Vec::new(),
             next_attempt_at: 0.0,
             answer_by,
+            deadline_timer: self.set_timer(answer_by, Timer::AnswerDeadline(request_key)),
         };
         self.pending.insert(request_key, pending);
-        self.set_timer(answer_by, Timer::AnswerDeadline(request_key));
     }
 
     /// Refuses a whole request on arrival, before it becomes pending. It counts as shed, whatever the reason.
@@ -173,6 +173,7 @@
     /// Removes a request from the pending ones, and its body and client id from their accounting.
     pub(super) fn remove_pending(&mut self, request_key: RequestKey) -> Option<PendingRequest> {
         let pending = self.pending.remove(&request_key)?;
+        self.timers.remove(&pending.deadline_timer);
         self.pending_body_bytes -= pending.request.body.len();
         self.open_client_ids.remove(&pending.request.id);
         Some(pending)
@@ -244,6 +245,7 @@
             send_by,
             progress: Progress::NotConnected,
             delayed: None,
+            timers: Vec::new(),
         };
         let next_attempt_at = pending.next_attempt_at;
         self.attempts.insert(key, attempt);
@@ -252,9 +254,9 @@
             return self.finish_attempt(now, key, Outcome::Moot, None, false);
         }
         if fetch.timeout_ms > 0.0 {
-            self.set_timer(now + fetch.timeout_ms, Timer::AttemptTimeout(key));
+            self.set_attempt_timer(now + fetch.timeout_ms, key, Timer::AttemptTimeout(key));
         }
-        self.set_timer(send_by, Timer::SendDeadline(key));
+        self.set_attempt_timer(send_by, key, Timer::SendDeadline(key));
         let (machine, outgoing) = (
             fetch.cache.clone(),
             OutgoingRequest { request, fetch, exclusive_connection: fragile, send_by, cause },
@@ -265,7 +267,7 @@
         match self.attempts.get_mut(&key).filter(|_| next_attempt_at > now) {
             Some(attempt) => {
                 attempt.delayed = Some(outgoing);
-                self.set_timer(next_attempt_at, Timer::AttemptDelayOver(key));
+                self.set_attempt_timer(next_attempt_at, key, Timer::AttemptDelayOver(key));
             }
             None => self.effects.push(Effect::Send { attempt: key, machine, request: outgoing }),
         }
@@ -326,6 +328,9 @@
         request_done: bool,
     ) {
         let Some(attempt) = self.attempts.remove(&key) else { return };
+        for timer in &attempt.timers {
+            self.timers.remove(timer);
+        }
         if let Some(pending) = self.pending.get_mut(&attempt.request_key) {
             pending.in_flight.retain(|other| *other != key);
             pending.last_outcome = Some(outcome);
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -593,3 +593,24 @@
         assert_eq!(late == Err(Withheld::RepeatWindowExpired), denied, "{class}: {late:?}");
     }
 }
+
+/// Guards against timers that outlive their requests, of which thousands may end each second.
+#[test]
+fn no_timer_of_a_request_outlives_it() {
+    let mut rig = Rig::new();
+    rig.request("read", 4000.0);
+    rig.step(Input::Aborted { key: rig.request_key() });
+    let before = rig.reducer.timers_set();
+    for round in 0..200 {
+        let (attempt, _) = sent_attempt(&rig.request("read", 4000.0));
+        match round % 3 {
+            0 => drop(rig.answered(attempt, Outcome::Ok, 10, false)),
+            1 => drop(rig.step(Input::Aborted { key: rig.request_key() })),
+            _ => {
+                let (again, _) = sent_attempt(&rig.answered(attempt, Outcome::Full, 0, false));
+                rig.answered(again, Outcome::Ok, 10, false);
+            }
+        }
+        assert!(rig.reducer.timers_set() <= before, "{} after {round}", rig.reducer.timers_set());
+    }
+}
