Bound the table of pieces by the memory, and evict what is not in demand

Cause: the shares of the memory add up to more than there is, as the table of 25,000 pieces doesn't know the limit. When it was full, new pieces were not counted, so that a stream of names kept a hot object out.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,22 +7,17 @@
 //! in which the home, a peer or the source of a fill can't serve well; `docs/design.md` lists them. Equal
 //! events give equal actions.
 
+mod pieces;
+
 use crate::api::*;
+use pieces::{ArrivalCounts, Piece, PieceTable, SpreadMode, PIECE_IDLE_S, WINDOW_S};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use twox_hash::XxHash64;
 
-/// How far the forecast looks ahead (its tau): about the time in which a peer gets its copy of a piece.
-const FORECAST_S: usize = 3;
-const WINDOW_S: usize = 2 * FORECAST_S; // The window that the forecast is fitted to: two tau.
 const SPREAD_PEERS: usize = 2; // Peers that a piece spreads to: the next two in its hash order.
-const NORMAL_RATE_GAIN: f64 = 0.1; // Weight of a new second in a piece's normal rate.
-/// A piece without requests for longer than this is forgotten. Such pieces are looked for at this interval
-/// too, so a piece is remembered for one to two intervals.
-const PIECE_IDLE_S: i64 = 30;
-/// Maximum number of pieces in the table, and of purges stored one by one. At the maximum, requests for new
-/// pieces are not counted, and the stored purges are replaced by the time of the latest.
-const MAX_TABLE_ENTRIES: usize = 25_000;
+/// Maximum number of purges stored one by one. At the maximum they are replaced by the time of the latest.
+const MAX_PURGES: usize = 25_000;
 const MACHINE_RETENTION_MS: Millis = 60_000.0; // When a removed machine's place in the table may be reused.
 
 /// The step of the forecast.
@@ -71,9 +66,6 @@
 const HEDGE_BUDGET: [f64; 2] = [0.02, 10.0];
 const TRANSFER_GAIN: f64 = 0.02; // Weight of one request in its class's mean transfer time.
 
-/// What a cache stores one copy of: a piece of an object. With one home for all its pieces an object could
-/// fill that cache's link.
-type Piece = (ObjectId, u64);
 /// A machine's index in the table.
 type MachineIndex = usize;
 
@@ -142,70 +134,6 @@
     *measurement = Some((old + SMOOTHING_GAIN * (sample - old), now));
 }
 
-/// The state of a piece whose requests are spread.
-#[derive(Debug, Default)]
-struct SpreadMode {
-    ready: Vec<MachineIndex>,
-    on_trial: Vec<MachineIndex>,
-    turn: usize,
-}
-
-/// The arrivals of requests for one piece, counted by the second.
-#[derive(Debug, Default)]
-struct ArrivalCounts {
-    window: [u32; WINDOW_S],
-    current: u32,
-    second: i64,
-    /// The seconds counted so far.
-    seconds_counted: usize,
-    /// The mean rate of the seconds that left the window while no spread mode was open, so that the rise that
-    /// opens the mode is not part of it.
-    normal_rate: Option<f64>,
-}
-
-impl ArrivalCounts {
-    /// Moves the window on to a second. The counts that leave it go into the normal rate, unless that is
-    /// frozen.
-    fn advance(&mut self, second: i64, freeze_normal_rate: bool) {
-        let steps = second.saturating_sub(self.second).max(0);
-        for _ in 0..steps.min(2 * WINDOW_S as i64) {
-            if self.seconds_counted >= WINDOW_S && !freeze_normal_rate {
-                let (leaving, old) =
-                    (f64::from(self.window[0]), self.normal_rate.unwrap_or(self.window[0].into()));
-                self.normal_rate = Some(old + NORMAL_RATE_GAIN * (leaving - old));
-            }
-            self.window.rotate_left(1);
-            self.window[WINDOW_S - 1] = std::mem::take(&mut self.current);
-            self.seconds_counted += 1;
-        }
-        self.second = self.second.max(second);
-    }
-
-    fn mean_rate(&self) -> f64 {
-        self.window.iter().sum::<u32>() as f64 / WINDOW_S as f64
-    }
-
-    /// Returns whether the mean rate, or the least-squares line over the window by the end of the forecast,
-    /// reaches a threshold.
-    fn will_reach(&self, threshold: f64) -> bool {
-        let (n, mean) = (WINDOW_S as f64, self.mean_rate());
-        let middle = (n - 1.0) / 2.0;
-        let rise = self.window.iter().enumerate().map(|(x, count)| (x as f64 - middle) * f64::from(*count));
-        let slope = rise.sum::<f64>() / (n * (n * n - 1.0) / 12.0);
-        let line = |ahead: f64| mean + slope * (middle + ahead);
-        mean.max(line(0.0)).max(line(FORECAST_S as f64)) >= threshold
-    }
-}
-
-/// What is known of one piece.
-#[derive(Debug)]
-struct PieceState {
-    counts: ArrivalCounts,
-    spread: Option<SpreadMode>,
-    /// Its transfer time, measured by an answer.
-    transfer_ms: Option<Millis>,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     cache: MachineIndex,
@@ -244,7 +172,7 @@
     machine_by_id: HashMap<CacheId, MachineIndex>,
     /// The listed machines of each role.
     listed_by_role: [Vec<MachineIndex>; 4],
-    pieces: HashMap<Piece, PieceState>,
+    pieces: PieceTable,
     spread_pieces: Vec<Piece>,
     arrivals: ArrivalCounts,
     requests: BTreeMap<RequestId, PendingRequest>,
@@ -286,6 +214,11 @@
         }
     }
 
+    /// Lowers the maximum number of pieces of objects that are remembered, at least 1.
+    pub fn limit_pieces(&mut self, max_pieces: usize) {
+        self.pieces.limit(max_pieces);
+    }
+
     /// Replaces the bounds of the guarantees, as when two processes share the cold-start budget.
     pub fn set_guarantees(&mut self, guarantees: Guarantees) {
         self.settings.guarantees = guarantees;
@@ -327,7 +260,7 @@
                 // The purge of an object may arrive without its group, so the group is not part of the key.
                 let group = if object.is_some() { 0 } else { group };
                 self.purges.entry((group, object)).and_modify(|at| *at = at.max(made)).or_insert(made);
-                if self.purges.len() > MAX_TABLE_ENTRIES {
+                if self.purges.len() > MAX_PURGES {
                     let made = self.purges.drain().map(|(_, made)| made);
                     self.all_purged_at = made.chain(self.all_purged_at).reduce(f64::max);
                 }
@@ -412,8 +345,10 @@
     }
 
     fn remove_from_ready(&mut self, index: MachineIndex) {
-        for spread in self.pieces.values_mut().filter_map(|state| state.spread.as_mut()) {
-            spread.ready.retain(|peer| *peer != index);
+        for key in &self.spread_pieces {
+            if let Some(spread) = self.pieces.get_mut(key).and_then(|state| state.spread.as_mut()) {
+                spread.ready.retain(|peer| *peer != index);
+            }
         }
     }
 
@@ -432,21 +367,19 @@
     /// Counts an arrival. Returns whether the piece was requested before.
     fn count_arrival(&mut self, now: Millis, request: &ClientRequest, actions: &mut Vec<Action>) -> bool {
         let Some(key) = piece(request) else { return false };
-        let seen = self.pieces.contains_key(&key);
-        if request.repeat || (!seen && self.pieces.len() >= MAX_TABLE_ENTRIES) {
+        let seen = self.pieces.contains(&key);
+        if request.repeat {
             return seen; // A client's own retry is not demand.
         }
         let second = ((now - self.started_at) / SECOND_MS) as i64;
         self.arrivals.advance(second, true);
         self.arrivals.current += 1;
         let threshold = self.spread_threshold();
-        let counts = ArrivalCounts { second, ..ArrivalCounts::default() };
-        let state =
-            self.pieces.entry(key.clone()).or_insert(PieceState { counts, spread: None, transfer_ms: None });
+        let Some(state) = self.pieces.request(&key, second) else { return seen };
         state.counts.advance(second, state.spread.is_some());
         state.counts.current += 1;
         if state.spread.is_none() && threshold.is_some_and(|threshold| state.counts.will_reach(threshold)) {
-            state.spread = Some(SpreadMode::default());
+            state.spread = Some(Box::default());
             self.spread_pieces.push(key.clone());
             let text = format!("spread opened for {} at {:.1}/s", key.0, state.counts.mean_rate());
             actions.push(Action::Log(text));
@@ -475,8 +408,7 @@
             }
         }
         if second % PIECE_IDLE_S == 0 {
-            self.pieces
-                .retain(|_, state| state.spread.is_some() || second - state.counts.second <= PIECE_IDLE_S);
+            self.pieces.forget_idle(second);
         }
         self.purges.retain(|_, made| *made >= now - self.settings.guarantees.purge_gone_ms);
         for role in [Role::Edge, Role::Parent] {
@@ -847,7 +779,7 @@
     }
 
     fn spread_mode(&self, request: &ClientRequest) -> Option<&SpreadMode> {
-        self.pieces.get(&piece(request)?)?.spread.as_ref()
+        self.pieces.get(&piece(request)?)?.spread.as_deref()
     }
 
     /// Sorts machines by rendezvous hashing in the order of the piece, which is the same at every router.
@@ -1005,7 +937,7 @@
         let harmless = repeatable || !pending.attempts.iter().any(may_have_run);
         if !pending.seen && pending.attempts.iter().any(failed_by_cache) {
             // The object may not exist at any machine, so it is neither counted as demand nor remembered.
-            piece(&pending.request).and_then(|key| self.pieces.remove(&key));
+            piece(&pending.request).into_iter().for_each(|key| self.pieces.remove(&key));
             self.arrivals.current = self.arrivals.current.saturating_sub(1);
         }
         let (id, advised) = (id.clone(), pending.request.refuse_retry_after_ms());
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -61,6 +61,10 @@
 const STATE_MEMORY_SHARE: f64 = 0.1;
 /// Memory that the state of one open request takes, in bytes.
 const STATE_BYTES_PER_REQUEST: f64 = 4096.0;
+/// Share of the memory limit that the table of pieces of objects may take.
+const PIECE_MEMORY_SHARE: f64 = 0.15;
+/// Memory that one piece in the table takes, in bytes: its state, its name and the growth of the table.
+const BYTES_PER_PIECE: f64 = 400.0;
 /// A client connection with more unsent bytes than this is slow: what the kernel accepts is sent at once.
 const SLOW_CLIENT_UNSENT_BYTES: usize = 32 * 1024;
 /// Share of the sockets for client connections (a third is promised). What clients and machines leave is
@@ -213,9 +217,11 @@
     pub fn new(settings: Settings, net: NetworkSettings, seed: u64, now: Millis, unix: UnixTime) -> Self {
         let fragile = |class: &ClassSettings| class.repeat != Repeat::Retryable;
         let classes = settings.classes.iter().enumerate();
+        let mut policy = Router::new(settings.clone(), seed, now);
+        policy.limit_pieces((net.memory_bytes as f64 * PIECE_MEMORY_SHARE / BYTES_PER_PIECE) as usize);
         Self {
             classes: classes.map(|(at, class)| (class.name.clone(), (at, fragile(class)))).collect(),
-            policy: Router::new(settings.clone(), seed, now),
+            policy,
             plugins: None,
             machine_stats: MachineStats::new(&settings),
             settings,
