Know the ids of requests that may have run after their clients left, and across an upgrade

Cause: only ids of open requests were known, and only to their own process.

Change: ids that may have run, of classes that may not simply be repeated, are remembered for 30 s (RecentIds, 8,192 at most); such a request fails. While two processes of a router run, each claims these ids in a shared file, and the first claim counts. Alone there is no file.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -6,6 +6,7 @@
 //! decides when the file is read and written, [`crate::runtime`] does the file I/O, and the reducer applies
 //! exclusions.
 
+pub mod claims;
 pub mod store;
 
 use crate::api::Millis;
--- a/src/reducer/gate.rs
+++ b/src/reducer/gate.rs
@@ -78,16 +78,18 @@
 
     /// Returns whether a request may be refused, which tells its client that a repeat does no harm.
     pub(super) fn may_refuse(&self, pending: &PendingRequest) -> bool {
-        let attempts = pending.in_flight.iter().filter_map(|key| self.attempts.get(key));
-        let mut started = attempts.map(|attempt| attempt.progress != Progress::NotConnected);
         match self.repeat_policy(pending) {
             Repeat::Retryable | Repeat::Dedup { scope: DedupScope::All, .. } => true,
-            Repeat::Fragile | Repeat::Dedup { .. } => {
-                !pending.may_have_run && !started.any(|started| started)
-            }
+            Repeat::Fragile | Repeat::Dedup { .. } => !self.may_have_run(pending),
         }
     }
 
+    /// Returns whether an attempt of a request may have run, or be running.
+    pub(super) fn may_have_run(&self, pending: &PendingRequest) -> bool {
+        let mut attempts = pending.in_flight.iter().filter_map(|key| self.attempts.get(key));
+        pending.may_have_run || attempts.any(|attempt| attempt.progress != Progress::NotConnected)
+    }
+
     /// Returns whether and how requests of a request's class may be repeated. An unknown class counts as
     /// fragile.
     fn repeat_policy(&self, pending: &PendingRequest) -> Repeat {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 
 mod gate;
 mod machines;
+mod recent_ids;
 mod requests;
 mod words;
 
@@ -21,6 +22,8 @@
 use crate::service::{Exclusions, Service, DRAINED_BY_MS};
 use crate::Router;
 pub use gate::Permit;
+use recent_ids::RecentIds;
+pub use recent_ids::{parse_client_id, ClientId};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 pub use words::{
     Answer, AttemptEnd, AttemptKey, Effect, Failure, IncomingRequest, Input, OutgoingRequest, Progress,
@@ -183,6 +186,8 @@
     request_keys: HashMap<RequestId, RequestKey>,
     /// Ids of the pending requests, as their clients gave them.
     open_client_ids: HashSet<String>,
+    /// Ids of ended requests that must not run again.
+    recent_ids: RecentIds,
     attempts: BTreeMap<AttemptKey, PendingAttempt>,
     next_attempt: AttemptKey,
     /// Timers by due time, in microseconds, and order of creation.
@@ -232,6 +237,7 @@
             pending: BTreeMap::new(),
             request_keys: HashMap::new(),
             open_client_ids: HashSet::new(),
+            recent_ids: RecentIds::default(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
             timers: BTreeMap::new(),
@@ -296,6 +302,19 @@
         (self.network.max_descriptors as f64 * CLIENT_SOCKET_SHARE) as usize
     }
 
+    /// Returns whether requests of a class may not simply be repeated. An unknown class has no requests.
+    pub fn is_unrepeatable(&self, class: &str) -> bool {
+        self.classes.get(class).is_some_and(|(_, fragile)| *fragile)
+    }
+
+    /// Returns the ids of the requests that must not run again: of open ones that may not simply be repeated,
+    /// and of ended ones that may have run.
+    pub fn unrepeatable_ids(&self) -> Vec<ClientId> {
+        let open = self.pending.values().filter(|pending| pending.fragile);
+        let open = open.filter_map(|pending| parse_client_id(&pending.request.id));
+        open.chain(self.recent_ids.ids()).collect()
+    }
+
     /// Returns the longest deadline of any class.
     pub fn longest_deadline_ms(&self) -> Millis {
         self.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max)
@@ -351,6 +370,7 @@
                 let open = self.requests_on(conn);
                 open.into_iter().for_each(|key| self.fail(now, key, Failure::BadConnection));
             }
+            Input::IdsTaken { ids } => ids.into_iter().for_each(|id| self.recent_ids.insert(now, id)),
             Input::RequestTruncated { key, reason } => self.refuse_truncated(now, key, reason),
             Input::ConnectionClosing { conn } => {
                 let open = self.requests_on(conn);
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -52,6 +52,11 @@
                 // Answers to two requests with one id could be mixed up.
                 return Err("its id is that of an open request");
             }
+            let may_have_run = |id| self.recent_ids.contains(now, id);
+            if class.1 && parse_client_id(&request.id).is_some_and(may_have_run) {
+                // Its client has left, or another process has it; machines can't tell it from a new request.
+                return Err("its id is that of a request that may have run");
+            }
             Ok((request, class))
         });
         let (request, (class, fragile)) = match checked {
@@ -162,7 +167,7 @@
     /// Ends a request without an answer, as its client no longer waits. The operators' telemetry has one
     /// result, [`Aborted`](ops::Disposition::Aborted), for such requests and for failed ones.
     pub(super) fn abort(&mut self, now: Millis, request_key: RequestKey) {
-        let Some(pending) = self.remove_pending(request_key) else { return };
+        let Some(pending) = self.remove_pending(now, request_key) else { return };
         self.counters.aborted += 1;
         self.results.count(&pending.request.class, ops::Disposition::Aborted);
         self.request_keys.remove(&pending.id);
@@ -171,18 +176,23 @@
     }
 
     /// Removes a request from the pending ones, and its body and client id from their accounting.
-    pub(super) fn remove_pending(&mut self, request_key: RequestKey) -> Option<PendingRequest> {
+    pub(super) fn remove_pending(&mut self, now: Millis, request_key: RequestKey) -> Option<PendingRequest> {
         let pending = self.pending.remove(&request_key)?;
         self.timers.remove(&pending.deadline_timer);
         self.pending_body_bytes -= pending.request.body.len();
         self.open_client_ids.remove(&pending.request.id);
+        if pending.fragile && self.may_have_run(&pending) {
+            if let Some(id) = parse_client_id(&pending.request.id) {
+                self.recent_ids.insert(now, id);
+            }
+        }
         Some(pending)
     }
 
     /// Gives the final answer. Does nothing if the request has been answered already.
     pub(super) fn answer(&mut self, now: Millis, id: &RequestId, reply: Reply) {
         let Some(request_key) = self.request_keys.remove(id) else { return };
-        let pending = self.remove_pending(request_key);
+        let pending = self.remove_pending(now, request_key);
         let disposition = match &reply {
             Reply::Served(body) => {
                 *self.unsent_bytes.entry(request_key.conn).or_default() += body.len();
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -145,6 +145,11 @@
         /// The client connection.
         conn: u64,
     },
+    /// Another process of this router has requests with these ids, which must not run here too.
+    IdsTaken {
+        /// The ids.
+        ids: Vec<ClientId>,
+    },
     /// A partly received request is refused.
     RequestTruncated {
         /// The request's key.
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -237,8 +237,10 @@
     pub(super) fn queue_requests(&mut self, key: u64, drained: bool) {
         let now = self.now();
         let Some((_, conn)) = self.clients.get_mut(&key) else { return };
-        let requests = conn.take_requests(now, drained);
-        self.inbox.extend(requests.into_iter().map(|event| client_input(key, event)));
+        for request in conn.take_requests(now, drained) {
+            let request = self.claim_request(request);
+            self.inbox.push(client_input(key, request));
+        }
     }
 
     /// Reads from a client once.
--- a/src/runtime/events.rs
+++ b/src/runtime/events.rs
@@ -52,6 +52,7 @@
         | Input::ClocksRead { .. }
         | Input::TimersDue
         | Input::ExclusionsLoaded { .. }
+        | Input::IdsTaken { .. }
         | Input::ExclusionSaved { .. }
         | Input::ColdStartShare(_)
         | Input::Operator { .. } => {}
--- a/src/runtime/handover.rs
+++ b/src/runtime/handover.rs
@@ -1,6 +1,7 @@
 //! The files in `$TMPDIR` that the processes of one router share: a state file that is changed under a lock,
 //! and for each process a file that stays locked as long as the process runs.
 
+use super::claims::Claims;
 use super::Runtime;
 use crate::api::Millis;
 use crate::clock::{boot_id, BootTime};
@@ -173,6 +174,7 @@
 #[derive(Debug)]
 pub(super) struct Handover {
     store: Store<DiskFolder>,
+    pub(super) claims: Claims,
     /// The share of the cold budget that this process may spend, 0 to 1.
     cold_share: f64,
 }
@@ -187,6 +189,7 @@
         let unique = format!("{seed} {} {}", std::process::id(), now.boot.0);
         let process = XxHash64::oneshot(0, unique.as_bytes());
         Self {
+            claims: Claims::new(path.with_extension("claims"), process),
             store: Store::new(DiskFolder::new(path, process), process, listen, &boot_id(), now),
             cold_share: 1.0,
         }
@@ -197,6 +200,11 @@
         self.store.has_successor(BootTime::now())
     }
 
+    /// Returns whether other processes of this router are recorded as running.
+    pub(super) fn other_processes_run(&self) -> bool {
+        self.store.state().processes().count() > 1
+    }
+
     /// Returns whether a change that was confirmed to an operator is not saved in the file.
     pub(super) fn has_unsaved_changes(&self) -> bool {
         self.store.has_unsaved_changes()
@@ -218,6 +226,7 @@
         handover.store.folder_mut().lock_alive_file();
         handover.store.maintain(ClockReading::read(), ends, |name| reducer.is_listed(name));
         self.apply_shared_state();
+        self.share_ids();
     }
 
     /// Passes changes of the shared state to the reducer.
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 //! effects.
 
 mod board;
+mod claims;
 mod clients;
 mod drains;
 mod events;
--- a/tests/client_gone.rs
+++ b/tests/client_gone.rs
@@ -241,3 +241,31 @@
         router.terminate();
     }
 }
+
+/// Guards against a request that runs again when its id comes again after its client has left.
+#[test]
+fn the_id_of_a_request_whose_client_has_left_does_not_run_again() {
+    for (class, again) in [("swap", false), ("keyed", false), ("page", true)] {
+        for how in ALL_WAYS {
+            let what = format!("{class}, {how:?}");
+            let endpoint = Endpoint::new();
+            let router =
+                Router::start(&format!("again-{class}-{how:?}"), &RouterSetup::new(&[("e-1", &endpoint)]));
+            let mut first = Client::connect(&router);
+            first.send_request(1, class, 7);
+            assert_eq!(endpoint.next_request().id, format!("{:016x}", 7));
+            let _kept = leave(first, how);
+            wait_until("the attempt is stopped", || router.counter("aborted") == 1);
+            let mut second = Client::connect(&router);
+            second.send_request(1, class, 7);
+            if again {
+                endpoint.serve(&endpoint.next_request());
+                assert_eq!(second.status(1), 200, "{what}: it may be repeated freely");
+            } else {
+                assert_eq!(second.status(1), 502, "{what}: it may have run, so it isn't refused either");
+            }
+            router.terminate();
+            assert_eq!(endpoint.received_request_ids(), [""; 0], "{what}");
+        }
+    }
+}
--- a/tests/hot_restart.rs
+++ b/tests/hot_restart.rs
@@ -166,3 +166,64 @@
     new.terminate();
     std::fs::remove_dir_all(tmp).expect("directory removed");
 }
+
+/// Returns the number of clients of a process.
+fn connected_clients(router: &Router) -> usize {
+    router.counter("taken"); // Prints the line with the number before the counters.
+    let log = router.log_text();
+    let count = log.rsplit("now clients=").next().and_then(|rest| rest.split(' ').next());
+    count.and_then(|count| count.parse().ok()).expect("a number")
+}
+
+/// Connects to one of the processes, which share an address.
+fn connect_to(router: &Router) -> Client {
+    for _ in 0..64 {
+        let before = connected_clients(router);
+        let mut client = Client::connect(router);
+        client.send_request(1, "/alive", 0);
+        assert_eq!(client.status(1), 200);
+        if connected_clients(router) > before {
+            return client;
+        }
+    }
+    panic!("the other process accepts all connections");
+}
+
+/// Guards against a request that runs at both processes of an upgrade when its id comes to the other one.
+#[test]
+fn an_id_that_one_process_has_does_not_run_at_the_other() {
+    for (left, after_exit) in [(false, false), (true, false), (true, true)] {
+        let endpoint = Endpoint::new();
+        let (old, new, tmp) = start_pair("bothids", &endpoint);
+        let mut early = connect_to(&old);
+        // Before the old process can have noticed the new one. It fails after a second without an answer.
+        early.send_request(2, "swap", 8);
+        assert_eq!(endpoint.next_request().id, format!("{:016x}", 8));
+        rig::sleep_ms(1000);
+        let mut client = connect_to(&old);
+        client.send_request(2, "swap", 9);
+        assert_eq!(endpoint.next_request().id, format!("{:016x}", 9));
+        if left {
+            drop((early, client));
+            wait_until("its attempt is stopped", || old.counter("aborted") == 1);
+        }
+        let mut other = connect_to(&new);
+        if after_exit {
+            old.signal("-TERM");
+            old.wait_for_exit();
+            rig::sleep_ms(600);
+        }
+        for (request, id) in [(2, 8), (3, 9)] {
+            other.send_request(request, "swap", id);
+            assert_eq!(other.status(request), 502, "{id}, left: {left}, after the exit: {after_exit}");
+        }
+        // What no process has had is served.
+        other.send_request(4, "swap", 10);
+        let served = endpoint.next_request();
+        assert_eq!(served.id, format!("{:016x}", 10));
+        endpoint.serve(&served);
+        assert_eq!(other.status(4), 200);
+        new.terminate();
+        std::fs::remove_dir_all(tmp).expect("directory removed");
+    }
+}
