Take a listing with another cell, zone or kind for another machine

Cause: find_or_add_machine kept kind, zone and cell of a name's first listing.

Change: such a listing opens a new place in the table; attempts stay with the old one.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -295,8 +295,16 @@
     }
 
     fn find_or_add_machine(&mut self, now: Millis, entry: &ListEntry) -> MachineIndex {
-        if let Some(index) = self.machine_by_id.get(&entry.cache) {
-            return *index;
+        if let Some(index) = self.machine_by_id.get(&entry.cache).copied() {
+            let known = &mut self.machines[index];
+            if (&known.entry.kind, &known.entry.zone, known.entry.cell)
+                == (&entry.kind, &entry.zone, entry.cell)
+            {
+                return index;
+            }
+            // Another machine under the name: what is known of the old one, and where its attempts may have
+            // run, stays with the old one.
+            (known.listed, known.removed_at) = (false, Some(now));
         }
         // Machines are replaced under new names all the time; the table must not grow with them.
         let free = |machine: &Machine| {
@@ -304,7 +312,11 @@
                 && machine.removed_at.is_some_and(|removed_at| now - removed_at > MACHINE_RETENTION_MS)
         };
         let index = self.machines.iter().position(free).unwrap_or(self.machines.len());
-        self.machines.get(index).and_then(|old| self.machine_by_id.remove(&old.entry.cache));
+        if let Some(old) = self.machines.get(index).map(|old| &old.entry.cache) {
+            if self.machine_by_id.get(old) == Some(&index) {
+                self.machine_by_id.remove(old);
+            }
+        }
         self.machine_by_id.insert(entry.cache.clone(), index);
         let settings = &self.settings;
         let role = match Some(&entry.kind) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -665,3 +665,21 @@
     assert!(direct["e1"] >= 20 && direct.keys().any(|to| to.starts_with('p')), "both are used: {direct:?}");
     assert!(direct.keys().all(|to| !to.starts_with('w')), "never a cache of another location: {direct:?}");
 }
+
+/// Guards against a machine that comes up under a known name in another cell and is taken for the old one: its
+/// cell does not discard repeats of what ran at the old one.
+#[test]
+fn a_keyed_request_is_not_repeated_at_a_machine_that_has_moved_to_another_cell() {
+    for cell in [0, 1] {
+        let mut settings = settings();
+        settings.classes[KEYED].repeat = Repeat::Dedup { scope: DedupScope::Cell, window_ms: 1000.0 };
+        let mut driver = Driver::new(settings, machines());
+        let first = fetch(&driver.request(KEYED, "o"));
+        // Every machine of the cell comes up anew under its name, possibly in another cell.
+        let entries = machines().into_iter().map(|entry| ListEntry { cell, ..entry }).collect();
+        driver.send(Event::List { mode: ListMode::Changes, entries });
+        let after = driver.end_attempt(&first, 0, Outcome::Reset, None);
+        let again = after.iter().any(|action| matches!(action, Action::Fetch(_)));
+        assert_eq!(again, cell == 0, "cell {cell}: {after:?}");
+    }
+}
