Use a completed dial only if its address is still its machine's

Cause: dial_connected didn't ask whose address it is now; the dials that no longer fit are closed at the end of the cycle, after it.

--- a/src/back/dials.rs
+++ b/src/back/dials.rs
@@ -118,6 +118,11 @@
         dial: DialKey,
     ) -> Option<Vec<DialAction>> {
         let connection = self.connections.get_mut(&key)?;
+        // The machine may have moved as the dial completed: another one is at the address now.
+        let dialed = connection.race.as_ref()?.open_dials().iter().find(|open| open.key == dial);
+        if dialed.is_some_and(|open| !self.addresses.contains(&connection.machine, &open.endpoint)) {
+            return None;
+        }
         // If the machine has another endpoint, this one gets as long for the greeting as it had for
         // connecting.
         let has_others = self.addresses.candidates(now, &connection.machine).len() > 1;
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -236,3 +236,36 @@
     assert_eq!(late, [""; 0], "delivered {HANG_MS} ms after the first attempt: {log}");
     assert!(given_up > 0, "none was half written: {log}");
 }
+
+/// Guards against a new process at the address of one that was killed being taken for the old one: what may have
+/// run at the old one is not sent to it, and nothing waits for its answers.
+#[test]
+fn what_may_have_run_at_a_killed_process_does_not_run_at_its_successor() {
+    for (class, again) in [("swap", false), ("page", true)] {
+        let endpoint = Endpoint::new();
+        let router = Router::start(&format!("successor-{class}"), &RouterSetup::new(&[("e-1", &endpoint)]));
+        let mut client = Client::connect(&router);
+        for request in 1..=4 {
+            client.send_request(request, class, request.into());
+            endpoint.next_request();
+        }
+        router.pause();
+        let successor = endpoint.replace();
+        client.send_request(5, class, 5);
+        router.resume();
+        let expected = if again { 5 } else { 1 };
+        let mut received: Vec<String> = Vec::new();
+        while received.len() < expected {
+            let request = successor.next_request();
+            successor.serve(&request);
+            received.push(request.id);
+        }
+        for request in 1..=4 {
+            assert_eq!(client.status(request), if again { 200 } else { 502 }, "{class} {request}");
+        }
+        assert_eq!(client.status(5), 200, "{class}");
+        router.terminate();
+        assert!(again || received == [format!("{:016x}", 5)], "{class}: {received:?}");
+        assert_eq!(successor.received_request_ids(), [""; 0], "{class}");
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -324,8 +324,28 @@
 
     /// Creates an endpoint with a full listen queue: a dial does not complete until it accepts connections.
     pub fn with_full_backlog() -> Self {
+        Self::with_full_backlog_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Ends as a process that is killed, all its connections being reset, and returns another endpoint at its
+    /// address.
+    pub fn replace(self) -> Self {
+        let address = self.address.parse().expect("an address");
+        let conns = std::mem::take(&mut *self.conns.lock().expect("not poisoned"));
+        // Without a receiver of its events the listening thread ends as it accepts a connection.
+        drop(self);
+        drop(TcpStream::connect(address).expect("it listens"));
+        wait_until("nothing listens", || TcpStream::connect(address).is_err());
+        conns.into_values().for_each(reset);
+        let mut successor = Self::with_full_backlog_at(address);
+        successor.accept_connections();
+        successor
+    }
+
+    fn with_full_backlog_at(address: SocketAddr) -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.set_reuse_address(true).expect("set");
+        socket.bind(&address.into()).expect("a port");
         socket.listen(0).expect("it listens");
         let address = socket.local_addr().expect("bound");
         let fillers = (0..3).map(|_| {
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -297,3 +297,34 @@
     assert_eq!(client.status(3), 503);
     router.terminate();
 }
+
+/// Guards against a connection that comes up at an address that its machine has just left to another one.
+#[test]
+fn a_dial_that_completes_as_its_machine_moves_carries_nothing_to_the_one_that_took_its_address() {
+    for listed in [true, false] {
+        let discovery = DiscoveryServer::new();
+        let (mut taken, moved) = (Endpoint::with_full_backlog(), Endpoint::new());
+        let mut setup = setup_with_discovery(&discovery, &[("e-1", &taken)]);
+        setup.limits = r#""MostTries":4,"Cancelling":true,"DialTimeoutMs":2500.0"#;
+        let router = Router::start(&format!("moved-{listed}"), &setup);
+        let mut poll = discovery.poll();
+        let mut client = Client::connect(&router);
+        client.send_request(1, "swap", 1);
+        wait_until("its dial is open", || router.counter("dials") == 1);
+        router.pause();
+        let mut entries = vec![endpoint_json("e-1", &moved.address, "active")];
+        if listed {
+            entries.push(endpoint_json("e-2", &taken.address, "leaving"));
+        }
+        poll.respond(2, &[pool_notice_json(2, false, &entries.join(","))]);
+        taken.accept_connections();
+        // The kernel completes the connection, even while the process is stopped.
+        assert_eq!(taken.next_event(), Event::Connected(0));
+        router.resume();
+        let received = moved.next_request();
+        moved.serve(&received);
+        assert_eq!(client.status(1), 200);
+        router.terminate();
+        assert_eq!(taken.received_request_ids(), [""; 0], "another machine is there, listed: {listed}");
+    }
+}
