--- a/src/front/read_progress.rs
+++ b/src/front/read_progress.rs
@@ -115,7 +115,7 @@
     /// unsent bytes.
     fn window_read_by(&self) -> Millis {
         let pause_ms = WINDOW_READ_PER_PAUSE * self.longest_pause_ms;
-        let window_read_ms = pause_ms.min(STALLED_MS).max(MIN_WINDOW_READ_MS);
+        let window_read_ms = pause_ms.clamp(MIN_WINDOW_READ_MS, STALLED_MS);
         self.unsent_at.map_or(0.0, |at| at + window_read_ms)
     }
 }
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -213,7 +213,7 @@
     let body = vec![7; BODY_BYTES];
     // Every second one stops in the middle of a record.
     let stall = |at: u64| {
-        let record_bytes = if at % 2 == 0 { 14_000 } else { BODY_BYTES };
+        let record_bytes = if at.is_multiple_of(2) { 14_000 } else { BODY_BYTES };
         let mut bytes = upload_records(1, 1000 + at, &body, record_bytes).concat();
         bytes.truncate(14_200);
         let mut client = Client::connect(&router);
