Let requests wait for memory for their bodies rather than refuse them at once

Cause: a body that doesn't fit was refused as it came, however soon there would be room; what was held back was counted nowhere.

Change: what is held back has a share of the memory. A request whose body has no room stays with its connection, which isn't read meanwhile, for up to 0.45 of its client's time; at the end of the share the client read last is refused. Reading out a client before it is refused is bounded by 128 KB, 512 KB in all. After a full portion a client's input counts as read only 5 ms after the last bytes: its kernel may have waited for room here.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -71,6 +71,8 @@
     aborted,
     /// Incomplete requests refused because their memory was needed for others.
     incomplete_shed,
+    /// Times that requests of a client waited for memory for their bodies.
+    requests_delayed,
     /// Answers whose body was read only after a wait for memory.
     answers_delayed,
     /// Client connections closed while the kernel held answers that the client had no room for yet.
--- a/src/front.rs
+++ b/src/front.rs
@@ -25,6 +25,14 @@
 /// Complete requests are held back for this long, at most, while more input of their client waits to be read: it
 /// may take them back, or its end may show that the client has left.
 const MAX_HOLD_MS: Millis = 100.0;
+/// After so much input at once that the client's kernel may have had to wait for room here, more is given this
+/// long to arrive before everything counts as read.
+const SETTLE_MS: Millis = 5.0;
+/// Share of its client's time for which a complete request waits, at most, for memory for its body. It is then
+/// refused, early enough for its client to try elsewhere.
+const MEMORY_WAIT_SHARE: f64 = 0.45;
+/// Longest wait of a request for memory.
+const MAX_MEMORY_WAIT_MS: Millis = 2000.0;
 /// An incomplete request of which nothing has arrived for this long has stalled.
 const STALLED_AFTER_MS: Millis = 100.0;
 /// Largest piece number, group, size and timeout that a request may specify.
@@ -128,6 +136,40 @@
     }
 }
 
+/// A complete request that is held back.
+#[derive(Debug)]
+struct HeldRequest {
+    serial: u64,
+    request: IncomingRequest,
+    /// Its age when it became complete.
+    age_ms: Millis,
+    /// When it became complete.
+    since: Millis,
+}
+
+impl HeldRequest {
+    /// Returns until when the request may wait for memory.
+    fn wait_until(&self) -> Millis {
+        let share_left_ms = MEMORY_WAIT_SHARE * self.request.timeout_ms - self.age_ms;
+        self.since + share_left_ms.clamp(0.0, MAX_MEMORY_WAIT_MS)
+    }
+
+    fn into_event(self, now: Millis) -> ClientEvent {
+        ClientEvent::Request(self.serial, Ok(self.request), self.age_ms + now - self.since)
+    }
+}
+
+/// What is known of input that was not read yet, when requests that are held back are taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadInput {
+    /// More waits to be read.
+    Waits,
+    /// Everything that has arrived was read.
+    None,
+    /// It doesn't matter: the requests are not held back for it any longer.
+    Ignored,
+}
+
 /// Result of checking a connection's timeouts.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TimeoutStatus {
@@ -166,9 +208,12 @@
     close_when_done: Option<ClientClose>,
     /// Nothing more is read from this connection.
     reading_stopped: bool,
-    /// Complete requests that are held back, see [`Conn::take_requests`], with the time at which they became
-    /// complete.
-    held: Vec<(Millis, ClientEvent)>,
+    /// Complete requests that are held back, see [`Conn::take_requests`].
+    held: Vec<HeldRequest>,
+    /// Requests are held back because there is no memory for their bodies.
+    awaits_memory: bool,
+    /// So much was read at once that more may be on its way although nothing waits to be read.
+    more_may_follow: bool,
 }
 
 impl Conn {
@@ -209,7 +254,9 @@
         while let Some(record) = self.decoder.next_record()? {
             match self.handle_record(now, record)? {
                 Some(ClientEvent::Aborted(serial)) if self.take_back(serial) => {}
-                Some(event @ ClientEvent::Request(_, Ok(_), _)) => self.held.push((now, event)),
+                Some(ClientEvent::Request(serial, Ok(request), age_ms)) => {
+                    self.held.push(HeldRequest { serial, request, age_ms, since: now });
+                }
                 Some(event) => events.push(event),
                 None => {}
             }
@@ -219,24 +266,58 @@
 
     /// Removes a request that is held back and needs no handling any more. Returns whether there was one.
     fn take_back(&mut self, serial: u64) -> bool {
-        let is_request = |event: &ClientEvent| matches!(event, ClientEvent::Request(of, ..) if *of == serial);
-        let at = self.held.iter().position(|(_, event)| is_request(event));
+        let at = self.held.iter().position(|held| held.serial == serial);
         at.map(|at| self.held.remove(at)).is_some()
     }
 
-    /// Returns the complete requests that may be handled now: all if everything that was received has been read
-    /// (`drained`), else all if the first of them has been held back for long enough.
-    pub fn take_requests(&mut self, now: Millis, drained: bool) -> Vec<ClientEvent> {
-        if !drained && self.held.first().is_none_or(|(since, _)| now - since < MAX_HOLD_MS) {
+    /// Returns the complete requests that may be handled now, if everything that was received has been read or the
+    /// first of them has been held back for long enough. Those whose body exceeds what is
+    /// left of `room`, in bytes, go on waiting for memory for a limited time; nothing is read meanwhile.
+    pub fn take_requests(&mut self, now: Millis, unread: UnreadInput, mut room: usize) -> Vec<ClientEvent> {
+        let all_read = match unread {
+            UnreadInput::Waits => false,
+            UnreadInput::None => self.settle_deadline().is_none_or(|at| at <= now),
+            UnreadInput::Ignored => true,
+        };
+        self.more_may_follow &= !all_read;
+        let ready = |held: &HeldRequest| all_read || now - held.since >= MAX_HOLD_MS;
+        if !self.held.first().is_some_and(ready) {
             return Vec::new();
         }
-        let aged = |(since, event)| match event {
-            ClientEvent::Request(serial, request, age_ms) => {
-                ClientEvent::Request(serial, request, age_ms + now - since)
+        let (mut taken, mut waiting) = (Vec::new(), Vec::new());
+        for held in self.held.drain(..) {
+            let bytes = held.request.body.len();
+            if bytes > room && now < held.wait_until() {
+                waiting.push(held);
+                continue;
             }
-            other => other,
-        };
-        self.held.drain(..).map(aged).collect()
+            room = room.saturating_sub(bytes);
+            taken.push(held.into_event(now));
+        }
+        self.awaits_memory = !waiting.is_empty();
+        self.held = waiting;
+        taken
+    }
+
+    /// Records that as much was read as is read at once.
+    pub fn read_full_portion(&mut self) {
+        self.more_may_follow = true;
+    }
+
+    /// Returns when everything counts as read if nothing more arrives; `None` if it does already.
+    pub fn settle_deadline(&self) -> Option<Millis> {
+        (self.more_may_follow && !self.held.is_empty()).then_some(self.last_activity_at + SETTLE_MS)
+    }
+
+    /// Returns the number of bytes in bodies of requests that are held back.
+    pub fn held_bytes(&self) -> usize {
+        self.held.iter().map(|held| held.request.body.len()).sum()
+    }
+
+    /// Returns when requests stop waiting for memory; `None` if none waits.
+    pub fn memory_wait_deadline(&self) -> Option<Millis> {
+        let waiting = self.held.iter().filter(|_| self.awaits_memory);
+        waiting.map(HeldRequest::wait_until).reduce(f64::min)
     }
 
     fn handle_record(&mut self, now: Millis, record: Record) -> Result<Option<ClientEvent>, ProtocolError> {
@@ -603,7 +684,7 @@
 
     /// Whether the connection may be read.
     pub fn may_read(&self) -> bool {
-        !self.reading_stopped && self.unwritten_bytes < STOP_READING_UNWRITTEN_BYTES
+        !self.reading_stopped && !self.awaits_memory && self.unwritten_bytes < STOP_READING_UNWRITTEN_BYTES
     }
 
     /// Whether so much is unwritten that the connection is not read while the memory for answers is full.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -302,6 +302,12 @@
         (self.network.max_descriptors as f64 * CLIENT_SOCKET_SHARE) as usize
     }
 
+    /// Returns how many bytes are left for the bodies of requests.
+    pub fn body_memory_left(&self) -> usize {
+        let limit = (self.network.memory_bytes as f64 * BODY_MEMORY_SHARE) as usize;
+        limit.saturating_sub(self.pending_body_bytes)
+    }
+
     /// Returns whether requests of a class may not simply be repeated. An unknown class has no requests.
     pub fn is_unrepeatable(&self, class: &str) -> bool {
         self.classes.get(class).is_some_and(|(_, fragile)| *fragile)
--- a/src/reducer/requests.rs
+++ b/src/reducer/requests.rs
@@ -77,8 +77,7 @@
         if let Some(answer_all_by) = self.service.terminating_since().map(|at| at + self.answer_window_ms()) {
             answer_by = answer_by.min(answer_all_by);
         }
-        let no_room = self.pending_body_bytes + request.body.len()
-            > (self.network.memory_bytes as f64 * BODY_MEMORY_SHARE) as usize;
+        let no_room = request.body.len() > self.body_memory_left();
         let max_open = self
             .network
             .max_open_requests
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -5,7 +5,7 @@
 use super::{Runtime, Source};
 use crate::api::Millis;
 use crate::errno::{self, ErrorClass};
-use crate::front::{self, Conn, TimeoutStatus};
+use crate::front::{self, Conn, TimeoutStatus, UnreadInput};
 use crate::reasons::{ClientClose, Reason as _, Refusal, Violation};
 use crate::reducer::{Input, RequestKey};
 use crate::{log_line, trace_event};
@@ -17,8 +17,13 @@
 /// Bytes read from one client before other sockets are served: a client that sends at full speed delays others
 /// by the time that one such portion takes.
 const MAX_READ_BYTES: usize = 64 * 1024;
-/// Bytes read from a client before a request of its is refused for lack of memory: more than it may have open.
-const MAX_READ_OUT_BYTES: usize = 4 << 20;
+/// Bytes read from a client before a request of its is refused for lack of memory, so that its rest counts if it
+/// has arrived.
+const MAX_READ_OUT_BYTES: usize = 128 * 1024;
+/// Bytes read in all for this purpose before what was read is handled.
+const MAX_TOTAL_READ_OUT_BYTES: usize = 512 * 1024;
+/// Share of the limit on requests held back beyond which clients wait. The rest is left for one portion of each.
+const HOLD_SHARE: f64 = 0.25;
 /// Connections accepted before other sockets are served.
 const MAX_ACCEPTS: usize = 64;
 /// Connections that may fail before they are accepted, in one round of accepting.
@@ -215,34 +220,122 @@
     /// Reads what a client has sent. Returns the reason to close the connection, if there is one.
     pub(super) fn read_client(&mut self, key: u64) -> Option<ClientClose> {
         let mut read = 0;
-        let drained = loop {
+        let unread = loop {
             match self.receive_from_client(key) {
                 ReceiveOutcome::Received(bytes) => read += bytes,
-                ReceiveOutcome::Nothing => break true,
+                ReceiveOutcome::Nothing => break UnreadInput::None,
                 ReceiveOutcome::Ended(reason) => return Some(reason),
             }
             if self.incoming_bytes > self.max_incoming_bytes {
                 self.shed_incomplete_requests();
             }
+            self.limit_held_requests(key);
             if read >= MAX_READ_BYTES {
                 self.runnable.insert(Source::Front(key));
-                break false;
+                if let Some((_, conn)) = self.clients.get_mut(&key) {
+                    conn.read_full_portion();
+                }
+                break UnreadInput::Waits;
             }
         };
-        self.queue_requests(key, drained);
+        self.queue_requests(key, unread);
         None
     }
 
     /// Passes on the complete requests of a client that need not be held back any more.
-    pub(super) fn queue_requests(&mut self, key: u64, drained: bool) {
+    fn queue_requests(&mut self, key: u64, unread: UnreadInput) {
+        // What would be refused anyway, or has no time, need not wait.
+        let is_refused = self.reducer.service().refusal(self.now()).is_some();
+        match is_refused || self.reducer.is_terminating() {
+            true => self.queue_requests_within(key, unread, usize::MAX),
+            false => {
+                let room = self.reducer.body_memory_left().saturating_sub(self.inbox.body_bytes());
+                self.queue_requests_within(key, unread, room);
+            }
+        }
+    }
+
+    /// Makes room for the requests that are held back. Beyond a share of the limit, the client that was read last
+    /// waits for memory with what it has sent; at the limit its requests are passed on, to be refused. What others
+    /// wait with already is not affected.
+    fn limit_held_requests(&mut self, key: u64) {
+        if self.held_bytes > self.max_incoming_bytes {
+            self.release_requests(key);
+        } else if self.held_bytes as f64 > self.max_incoming_bytes as f64 * HOLD_SHARE {
+            self.queue_requests(key, UnreadInput::Ignored);
+        }
+    }
+
+    /// Passes on all complete requests of a client, whether there is memory for their bodies or not.
+    pub(super) fn release_requests(&mut self, key: u64) {
+        self.queue_requests_within(key, UnreadInput::Ignored, usize::MAX);
+    }
+
+    fn queue_requests_within(&mut self, key: u64, unread: UnreadInput, room: usize) {
         let now = self.now();
         let Some((_, conn)) = self.clients.get_mut(&key) else { return };
-        for request in conn.take_requests(now, drained) {
+        let before = conn.held_bytes();
+        let requests = conn.take_requests(now, unread, room);
+        self.held_bytes = self.held_bytes + conn.held_bytes() - before;
+        match conn.settle_deadline() {
+            Some(at) => drop(self.settling.insert(key, at)),
+            None => drop(self.settling.remove(&key)),
+        }
+        if conn.memory_wait_deadline().is_some() && !self.awaiting_memory.contains(&key) {
+            self.reducer.counters.requests_delayed += 1;
+            self.awaiting_memory.push_back(key);
+        }
+        for request in requests {
             let request = self.claim_request(request);
             self.inbox.push(client_input(key, request));
         }
     }
 
+    /// Passes on requests that have waited for memory, in the order of their clients, as far as there is room now,
+    /// and those that have waited for as long as they may.
+    pub(super) fn resume_after_memory_wait(&mut self) {
+        let now = self.now();
+        let is_due = |key: &u64| self.memory_wait_deadline(*key).is_some_and(|at| at <= now);
+        let due: Vec<u64> = self.awaiting_memory.iter().copied().filter(is_due).collect();
+        for key in due {
+            self.queue_requests(key, UnreadInput::Ignored);
+            self.process_inputs();
+        }
+        while let Some(key) = self.awaiting_memory.front().copied() {
+            let has_closed = self.clients.get(&key).is_some_and(|(socket, _)| socket.peer_has_closed());
+            if has_closed {
+                self.flush_and_close_client(key, ClientClose::PeerClosed);
+            }
+            self.queue_requests(key, UnreadInput::Ignored);
+            self.process_inputs();
+            if self.memory_wait_deadline(key).is_some() {
+                return;
+            }
+            self.awaiting_memory.pop_front();
+            self.runnable.insert(Source::Front(key));
+        }
+    }
+
+    /// Schedules the clients from which nothing more has arrived for long enough.
+    pub(super) fn serve_settled_clients(&mut self, now: Millis) {
+        let settled: Vec<u64> =
+            self.settling.iter().filter(|(_, at)| **at <= now).map(|(key, _)| *key).collect();
+        for key in settled {
+            self.settling.remove(&key);
+            self.runnable.insert(Source::Front(key));
+        }
+    }
+
+    /// Returns when the first request stops waiting for memory.
+    pub(super) fn next_memory_wait_deadline(&self) -> Option<Millis> {
+        self.awaiting_memory.iter().filter_map(|key| self.memory_wait_deadline(*key)).reduce(f64::min)
+    }
+
+    /// Returns when the first request of a client stops waiting for memory.
+    fn memory_wait_deadline(&self, key: u64) -> Option<Millis> {
+        self.clients.get(&key).and_then(|(_, conn)| conn.memory_wait_deadline())
+    }
+
     /// Reads from a client once.
     fn receive_from_client(&mut self, key: u64) -> ReceiveOutcome {
         let now = self.now();
@@ -262,8 +355,10 @@
             }
         };
         let (before, unwritten) = (conn.buffered_bytes(), conn.unwritten_bytes());
+        let held_before = conn.held_bytes();
         let (events, fault) = conn.receive(now, &self.buffer[..bytes]);
         self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
+        self.held_bytes = self.held_bytes + conn.held_bytes() - held_before;
         self.answer_memory.unsent_changed(unwritten, conn.unwritten_bytes());
         let retracted = conn.take_retracted_bytes();
         if retracted > 0 {
@@ -283,15 +378,15 @@
     /// share of the memory. Reads from a client before its request is refused: the rest of it may have
     /// arrived, and then the request counts as received.
     fn shed_incomplete_requests(&mut self) {
-        let mut read_out = BTreeSet::new();
-        while self.incoming_bytes > self.max_incoming_bytes {
+        let (mut read_out, mut bytes_read_out) = (BTreeSet::new(), 0);
+        while self.incoming_bytes > self.max_incoming_bytes && bytes_read_out < MAX_TOTAL_READ_OUT_BYTES {
             let now = self.now();
             let shed_order = |conn: &Conn| conn.shed_order(now);
             let candidates =
                 self.clients.iter().filter_map(|(key, (_, conn))| Some((shed_order(conn)?, *key)));
             let Some((_, key)) = candidates.min() else { return };
             if read_out.insert(key) {
-                self.read_out_client(key);
+                bytes_read_out += self.read_out_client(key);
                 continue;
             }
             let Some((_, conn)) = self.clients.get_mut(&key) else { return };
@@ -304,24 +399,31 @@
         }
     }
 
-    /// Reads what has arrived from a client, without making room for it.
-    fn read_out_client(&mut self, key: u64) {
-        let Some((socket, _)) = self.clients.get_mut(&key) else { return };
+    /// Reads what has arrived from a client, without making room for it. Returns the number of bytes.
+    fn read_out_client(&mut self, key: u64) -> usize {
+        let Some((socket, _)) = self.clients.get_mut(&key) else { return 0 };
         socket.readable = true;
         let mut read = 0;
         while read < MAX_READ_OUT_BYTES {
             match self.receive_from_client(key) {
                 ReceiveOutcome::Received(bytes) => read += bytes,
-                ReceiveOutcome::Nothing => return self.queue_requests(key, true),
-                ReceiveOutcome::Ended(reason) => return self.flush_and_close_client(key, reason),
+                ReceiveOutcome::Nothing => {
+                    self.queue_requests(key, UnreadInput::None);
+                    return read;
+                }
+                ReceiveOutcome::Ended(reason) => {
+                    self.flush_and_close_client(key, reason);
+                    return read;
+                }
             }
         }
         self.runnable.insert(Source::Front(key));
+        read
     }
 
     /// Stops reading from a client. Its complete requests are answered, and then its connection is closed.
     fn stop_reading_client(&mut self, key: u64, reason: ClientClose) {
-        self.queue_requests(key, true);
+        self.release_requests(key);
         let Some((_, conn)) = self.clients.get_mut(&key) else { return };
         self.incoming_bytes -= conn.buffered_bytes();
         conn.stop_reading(reason);
@@ -410,6 +512,8 @@
             self.report_violation(Violation::ClosedUnanswered, why);
         }
         self.incoming_bytes -= conn.buffered_bytes();
+        self.held_bytes -= conn.held_bytes();
+        self.settling.remove(&key);
         self.answer_memory.unsent_changed(unwritten, 0);
         self.inbox.push(Input::ConnectionClosed { conn: key });
         Some(socket)
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -110,7 +110,7 @@
             if let Some(reason) = self.read_client_now(key) {
                 self.flush_and_close_client(key, reason);
             }
-            self.queue_requests(key, true);
+            self.release_requests(key);
             self.runnable.insert(Source::Front(key));
         }
         self.inbox.push(Input::ListenerClosed);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -112,6 +112,15 @@
         self.0.push_back(input);
     }
 
+    /// Returns the number of bytes in bodies of requests that the reducer has not seen.
+    fn body_bytes(&self) -> usize {
+        let bytes = |input: &Input| match input {
+            Input::RequestReceived { request: Ok(request), .. } => request.body.len(),
+            _ => 0,
+        };
+        self.0.iter().map(bytes).sum()
+    }
+
     /// Removes and returns the next input.
     pub fn pop(&mut self) -> Option<Input> {
         self.0.pop_front()
@@ -156,6 +165,12 @@
     /// Bytes of incomplete requests.
     incoming_bytes: usize,
     max_incoming_bytes: usize,
+    /// Bytes in bodies of complete requests that are held back, which may be as many.
+    held_bytes: usize,
+    /// Clients whose requests wait for memory, the longest first.
+    awaiting_memory: VecDeque<u64>,
+    /// Clients whose requests are held back until nothing more has arrived for a moment, with its end.
+    settling: BTreeMap<u64, Millis>,
     /// The files that SIGHUP reloads.
     sources: Sources,
     /// The configured listen address.
@@ -261,6 +276,9 @@
         dials: BTreeMap::new(),
         answer_memory: AnswerMemory::new(memory_share(config.net.memory_bytes, ANSWER_MEMORY_SHARE)),
         incoming_bytes: 0,
+        held_bytes: 0,
+        awaiting_memory: VecDeque::new(),
+        settling: BTreeMap::new(),
         max_incoming_bytes: memory_share(config.net.memory_bytes, INCOMING_MEMORY_SHARE),
         sources,
         listen_address: config.listen,
@@ -395,6 +413,8 @@
             self.shortage_retry_at,
             self.retry_reload_at,
             self.answer_memory.next_deadline(),
+            self.next_memory_wait_deadline(),
+            self.settling.values().copied().reduce(f64::min),
         ];
         let deadlines = [self.reducer.next_deadline(), connections, discovery, fleet, lingering]
             .into_iter()
@@ -442,6 +462,7 @@
         if self.shortage_retry_at.is_some_and(|at| at <= now) {
             self.resume_after_shortage();
         }
+        self.serve_settled_clients(now);
         for source in std::mem::take(&mut self.runnable) {
             self.serve(source);
         }
@@ -468,6 +489,7 @@
             self.process_inputs();
         }
         self.read_admitted_bodies();
+        self.resume_after_memory_wait();
         self.drain_clients();
     }
 
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -126,6 +126,14 @@
         perform_io(&mut self.readable, || (&*self.stream).read(buffer))
     }
 
+    /// Returns whether the peer has closed its side, although what it sent before may still have to be read.
+    pub(super) fn peer_has_closed(&self) -> bool {
+        const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let mut polled = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        poll(&mut polled, Some(&NO_WAIT)).is_ok() && polled[0].revents().intersects(closed)
+    }
+
     /// Returns whether the kernel holds bytes that it has not sent, because the peer's receive window is full.
     /// False where that can't be asked, such as on Unix sockets.
     ///
--- a/tests/bursts.rs
+++ b/tests/bursts.rs
@@ -207,3 +207,39 @@
     assert!(peak < LIMIT_BYTES, "{} KB; {log}", peak / 1024);
     assert_eq!(whole_objects(&received), sent, "{log}");
 }
+
+/// Guards against a request with little time that waits for memory behind others with more.
+#[test]
+fn a_request_that_waits_for_memory_is_refused_in_its_own_time() {
+    static BODY: [u8; 48_000] = [b'b'; 48_000];
+    const SHORT_TIMEOUT_MS: u64 = 1400;
+    let endpoint = Endpoint::new();
+    let mut setup = RouterSetup::new(&[("e-1", &endpoint)]);
+    setup.memory_mb = MEMORY_MB;
+    let router = Router::start("waits", &setup);
+    let upload = |timeout_ms, request: u16, id: u64| {
+        rig::Client::request_bytes_with_timeout(
+            timeout_ms,
+            request,
+            "page",
+            id << 8 | u64::from(request),
+            id,
+            &BODY,
+        )
+    };
+    // Uploads that are not answered fill the memory for bodies, and one more waits.
+    let mut clients: Vec<rig::Client> = (0..4).map(|_| rig::Client::connect(&router)).collect();
+    for (at, client) in (1..).zip(&mut clients) {
+        let bytes: Vec<u8> = (1..=20).flat_map(|request| upload(2900, request, at)).collect();
+        client.stream.write_all(&bytes).expect("written");
+    }
+    wait_until("one waits", || router.counter("requests_delayed") > 0);
+    let mut late = rig::Client::connect(&router);
+    let sent = std::time::Instant::now();
+    late.stream.write_all(&upload(SHORT_TIMEOUT_MS, 1, 9)).expect("written");
+    let status = late.status(1);
+    let took = sent.elapsed();
+    assert_eq!(status, 503, "a repeat is harmless: {}", router.log_text());
+    assert!(took < Duration::from_millis(SHORT_TIMEOUT_MS / 2), "{took:?}");
+    router.terminate();
+}
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -5,7 +5,7 @@
 use frostturn::api::*;
 use frostturn::back::{ConnectionPool, EndpointEvent, Remainder, SendError};
 use frostturn::fastcgi::{self, kind, Decoder, ProtocolError, Record};
-use frostturn::front::{ClientEvent, Conn, TimeoutStatus, Unsent};
+use frostturn::front::{ClientEvent, Conn, TimeoutStatus, UnreadInput, Unsent};
 use frostturn::reasons::{AttemptCause, ClientClose, EndpointClose, Refusal};
 use frostturn::reducer::{Failure, IncomingRequest, OutgoingRequest, Progress, Reply};
 use frostturn::resp;
@@ -17,7 +17,7 @@
 /// if the input can't be parsed.
 fn receive(conn: &mut Conn, now: Millis, bytes: &[u8]) -> Result<Vec<ClientEvent>, ProtocolError> {
     let (mut received, error) = conn.receive(now, bytes);
-    received.extend(conn.take_requests(now, true));
+    received.extend(conn.take_requests(now, UnreadInput::None, usize::MAX));
     error.map_or(Ok(received), Err)
 }
 
@@ -1067,13 +1067,13 @@
     let mut conn = Conn::new(0.0);
     let two = [request_bytes(1, "/ops/page", ID, b""), request_bytes(2, "/ops/page", ID, b"")].concat();
     assert_eq!(conn.receive(1000.0, &two), (vec![], None));
-    assert_eq!(conn.take_requests(1050.0, false), []);
+    assert_eq!(conn.take_requests(1050.0, UnreadInput::Waits, usize::MAX), []);
     let mut abort = Vec::new();
     fastcgi::record(&mut abort, kind::ABORT, 1, b"");
     assert_eq!(conn.receive(1060.0, &abort), (vec![], None), "no one has heard of it");
-    let held = conn.take_requests(1100.0, false);
+    let held = conn.take_requests(1100.0, UnreadInput::Waits, usize::MAX);
     assert!(matches!(held[..], [ClientEvent::Request(2, Ok(_), 100.0)]), "its age goes on: {held:?}");
-    assert_eq!(conn.take_requests(1200.0, true), []);
+    assert_eq!(conn.take_requests(1200.0, UnreadInput::None, usize::MAX), []);
     assert_eq!(conn.owed_answers(), 1);
 }
 #[test]
@@ -1100,3 +1100,52 @@
         assert_eq!((frame[1].as_slice(), &frame[3]), (&b"0000000000000001"[..], &body), "{step}");
     }
 }
+
+/// Guards against requests that are refused for lack of memory although there will be some in a moment.
+#[test]
+fn requests_wait_for_memory_for_a_while_and_their_connection_is_not_read_meanwhile() {
+    const BODY_BYTES: usize = 20_000;
+    let mut conn = Conn::new(0.0);
+    for (request, body) in [(1, BODY_BYTES), (2, 0), (3, BODY_BYTES)] {
+        let bytes = request_bytes(request, "/ops/page", ID, &vec![7; body]);
+        assert_eq!(conn.receive(1000.0, &bytes), (vec![], None));
+    }
+    assert_eq!((conn.held_bytes(), conn.memory_wait_deadline()), (2 * BODY_BYTES, None));
+    let serials = |events: Vec<ClientEvent>| -> Vec<u64> {
+        let serial = |event| match event {
+            ClientEvent::Request(serial, Ok(_), _) => serial,
+            other => panic!("{other:?}"),
+        };
+        events.into_iter().map(serial).collect()
+    };
+    assert_eq!(
+        serials(conn.take_requests(1000.0, UnreadInput::None, BODY_BYTES + 5)),
+        [1, 2],
+        "one without a body passes"
+    );
+    assert_eq!((conn.held_bytes(), conn.may_read()), (BODY_BYTES, false));
+    // A little less than half of the client's 1,500 ms.
+    assert_eq!(conn.memory_wait_deadline(), Some(1675.0));
+    assert_eq!(serials(conn.take_requests(1674.0, UnreadInput::None, 0)), [0u64; 0]);
+    assert_eq!(serials(conn.take_requests(1675.0, UnreadInput::None, 0)), [3], "it is refused now");
+    assert!(conn.may_read() && conn.memory_wait_deadline().is_none());
+}
+
+/// Guards against taking a pause in a large input for its end, while the client's kernel sends the rest.
+#[test]
+fn after_a_full_portion_requests_are_held_back_until_nothing_more_arrives_for_a_moment() {
+    let mut conn = Conn::new(0.0);
+    assert_eq!(conn.receive(1000.0, &request_bytes(1, "/ops/page", ID, b"")), (vec![], None));
+    conn.read_full_portion();
+    assert_eq!(conn.take_requests(1001.0, UnreadInput::None, usize::MAX), []);
+    assert_eq!(conn.settle_deadline(), Some(1005.0));
+    assert_eq!(conn.receive(1004.0, &request_bytes(2, "/ops/page", ID, b"")), (vec![], None));
+    assert_eq!(conn.take_requests(1005.0, UnreadInput::None, usize::MAX), [], "more has arrived");
+    assert_eq!(conn.take_requests(1009.0, UnreadInput::None, usize::MAX).len(), 2);
+    assert_eq!(conn.receive(1010.0, &request_bytes(3, "/ops/page", ID, b"")), (vec![], None));
+    assert_eq!(
+        conn.take_requests(1010.0, UnreadInput::None, usize::MAX).len(),
+        1,
+        "all was read, and little came"
+    );
+}
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,8 +4,9 @@
 mod rig;
 
 use frostturn::fastcgi::{self, kind};
+use frostturn::resp;
 use rig::slow_reader::{SlowClient, LARGEST_OBJECT_BYTES, SLOWEST_RATE};
-use rig::{sleep_ms, Client, Endpoint, Router, RouterSetup};
+use rig::{sleep_ms, Client, Endpoint, ReceivedRequest, Router, RouterSetup};
 use std::collections::VecDeque;
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -157,18 +158,23 @@
 fn answer_by_kind(endpoint: Endpoint, stop: &AtomicBool) {
     const UPLOAD_DELAY: Duration = Duration::from_millis(1500);
     let (large, small) = (vec![b'x'; LARGEST_OBJECT_BYTES], [b'x'; 500]);
+    let reply = |request: &ReceivedRequest, body: &[u8]| {
+        let fields = b"tell=cached,version=ab,stamp=1";
+        let frame = resp::frame(&[request.id.as_bytes(), b"DONE", fields, body]);
+        let _ = endpoint.write(request.conn, &frame); // The router may have closed the connection.
+    };
     let mut uploads = VecDeque::new();
     while !stop.load(Ordering::Relaxed) {
         while let Some(request) = endpoint.try_next_request() {
             match request.id.as_bytes()[0] {
-                b'4' => endpoint.reply(&request, "DONE", "tell=cached,version=ab,stamp=1", &large),
+                b'4' => reply(&request, &large),
                 b'5' => uploads.push_back((Instant::now() + UPLOAD_DELAY, request)),
-                _ => endpoint.reply(&request, "DONE", "tell=cached,version=ab,stamp=1", &small),
+                _ => reply(&request, &small),
             }
         }
         while uploads.front().is_some_and(|(due, _)| *due <= Instant::now()) {
             let Some((_, request)) = uploads.pop_front() else { break };
-            endpoint.reply(&request, "DONE", "tell=cached,version=ab,stamp=1", &small);
+            reply(&request, &small);
         }
         thread::sleep(Duration::from_micros(200));
     }
@@ -250,3 +256,48 @@
     let (when, peak) = peaks.iter().max_by_key(|(_, bytes)| *bytes).expect("measured");
     assert!(*peak < LIMIT_BYTES, "{} KB by {when}: {}", peak / 1024, router.log_text());
 }
+
+/// Guards against bodies of complete requests that are held back without an account.
+#[test]
+fn uploads_of_many_clients_at_once_do_not_exceed_the_memory_limit() {
+    const UPLOADERS: u64 = 160;
+    const EACH: u16 = 30;
+    let (endpoint, stop) = (Endpoint::new(), AtomicBool::new(false));
+    let mut setup = RouterSetup::new(&[("e-1", &endpoint)]);
+    (setup.memory_mb, setup.sockets) = (MEMORY_MB, SOCKETS);
+    let router = Router::start("uploads", &setup);
+    let mut clients: Vec<Client> = (0..UPLOADERS).map(|_| Client::connect(&router)).collect();
+    let mut peak = 0;
+    thread::scope(|scope| {
+        let stopping = &stop;
+        scope.spawn(move || answer_by_kind(endpoint, stopping));
+        let end = StopOnDrop(&stop);
+        for (at, some) in (0..).zip(clients.chunks_mut(UPLOADERS as usize / 8)) {
+            scope.spawn(move || {
+                let bytes_of = |client: u64| -> Vec<u8> {
+                    let request = |request: u16| {
+                        let number = at << 24 | client << 16 | u64::from(request);
+                        Client::request_bytes(request, "page", id(UPLOADS, number), number, &[7; 48_000])
+                    };
+                    (1..=EACH).flat_map(request).collect()
+                };
+                let bytes: Vec<Vec<u8>> = (0..some.len() as u64).map(bytes_of).collect();
+                let mut written = vec![0; some.len()];
+                some.iter().for_each(|client| client.stream.set_nonblocking(true).expect("set"));
+                let is_unwritten = |(written, bytes): (&usize, &Vec<u8>)| *written < bytes.len();
+                while written.iter().zip(&bytes).any(is_unwritten) && !stopping.load(Ordering::Relaxed) {
+                    for ((client, written), bytes) in some.iter_mut().zip(&mut written).zip(&bytes) {
+                        *written += client.stream.write(&bytes[*written..]).unwrap_or(0);
+                    }
+                }
+            });
+        }
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(2) {
+            peak = peak.max(router.anonymous_bytes());
+            sleep_ms(2);
+        }
+        drop(end);
+    });
+    assert!(peak < LIMIT_BYTES, "{} KB: {}", peak / 1024, router.log_text());
+}
