Discard a given-up attempt that the kernel holds, with nothing else in flight

Found by reading again: a connection closed for an attempt that was given up was reset only if something was still in flight on it. An attempt alone on its connection, written whole and unsent, is not in flight once it is given up, so that an orderly close delivered it after the hang, past its window.

Change: a close for a given-up attempt always discards what the kernel holds.

--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -362,7 +362,8 @@
         let now = self.now();
         self.answer_memory.release(key);
         if let Some(socket) = self.connection_sockets.remove(&key) {
-            if !self.connections.nothing_in_flight(key) {
+            // An attempt that was given up is not in flight any more, but the kernel may still hold it.
+            if why == EndpointClose::AttemptGivenUp || !self.connections.nothing_in_flight(key) {
                 discard_unsent(&socket);
             }
             match why {
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -237,6 +237,29 @@
     assert!(given_up > 0, "none was half written: {log}");
 }
 
+/// Guards against an attempt that is given up when its last byte has been written, but not sent: with nothing else
+/// on its connection, an orderly close would deliver it after the window.
+#[test]
+fn a_keyed_request_given_up_in_the_kernels_buffer_is_not_delivered_after_its_window() {
+    const HANG_MS: u64 = 1500;
+    /// Larger than the endpoint's receive buffer, and smaller than what the kernel takes here at once.
+    const BODY_BYTES: usize = 60_000;
+    let mut hanging = HangingEndpoint::new();
+    let mut setup = RouterSetup::new(&[]);
+    setup.endpoints.push(("e-1", hanging.listener.local_addr().expect("bound").to_string()));
+    let router = Router::start("inkernel", &setup);
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::connect(&router)).collect();
+    for (id, client) in (1..).zip(&mut clients) {
+        let bytes = Client::request_bytes_with_timeout(800, 1, "keyed", id, 0xab, &[7; BODY_BYTES]);
+        client.stream.write_all(&bytes).expect("written");
+    }
+    sleep_ms(HANG_MS);
+    clients.iter_mut().for_each(|client| drop(client.answer(1).expect("each is answered")));
+    let late = hanging.read_all();
+    let log = router.terminate();
+    assert_eq!(late, [""; 0], "delivered {HANG_MS} ms after the first attempt: {log}");
+}
+
 /// Guards against a new process at the address of one that was killed being taken for the old one: what may have
 /// run at the old one is not sent to it, and nothing waits for its answers.
 #[test]
