Complete a repeatable attempt that was given up where the close would end others

Found by reading again: a client that gives up half written uploads had the connection closed, also over attempts of other clients on it, which count as resets of their machine. An honest peer paid for a rude one.

Change: only if nothing else on the connection has begun, or the class may not simply be repeated. A repeatable one may arrive late, as it may be repeated.

Result: the model in tests/connections.rs states it; it fails without the change and passes.

--- a/src/back/connection.rs
+++ b/src/back/connection.rs
@@ -97,13 +97,14 @@
     }
 
     /// Returns what remains of an attempt that is stopped. One that is partly written is completed only if its
-    /// request may be repeated at any time and the close would end another that may not.
+    /// request may be repeated at any time and the close would end the attempts of others: a client that gives
+    /// its requests up must not cost them theirs.
     pub(super) fn remainder(&self, now: Millis, stopped: Outstanding) -> Remainder {
         let begun = |open: &Outstanding| open.progress > Progress::NotConnected;
-        let others_unrepeatable = || self.outstanding.values().any(|open| open.exclusive && begun(open));
+        let others_begun = || self.outstanding.values().any(begun);
         match stopped.progress {
             Progress::NotConnected => Remainder::Nothing,
-            Progress::PartlyWritten if stopped.exclusive || !others_unrepeatable() => Remainder::Partial,
+            Progress::PartlyWritten if stopped.exclusive || !others_begun() => Remainder::Partial,
             Progress::WrittenWhole if stopped.exclusive && self.is_unresponsive(now) => Remainder::Partial,
             Progress::WrittenWhole if stopped.exclusive => Remainder::Late,
             Progress::PartlyWritten | Progress::WrittenWhole | Progress::Answered => Remainder::Stopped,
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -650,7 +650,15 @@
                     let withdrawn = stopped.is_some_and(|(_, left)| left == Remainder::Nothing);
                     assert_eq!(withdrawn, progress == Progress::NotConnected);
                     let cut = stopped.is_some_and(|(_, left)| left == Remainder::Partial);
-                    assert_eq!(cut, progress == Progress::PartlyWritten, "what is cut is never completed");
+                    let alone = key.is_some_and(|key| {
+                        let same = out.iter().filter(|(_, (_, on))| *on == key);
+                        !same.into_iter().any(|(other, _)| progress_of.contains_key(other))
+                    });
+                    assert_eq!(
+                        cut,
+                        progress == Progress::PartlyWritten && alone,
+                        "what is cut is never completed, and costs no other attempt"
+                    );
                     assert_eq!(pool.stop(now, attempt), None, "an attempt is stopped once");
                     if let Some(key) = key.filter(|_| cut) {
                         take_down(&mut pool, now, key, &mut out, &progress_of, &mut wrote);
