Log what memory is used for, and relief once a second instead of a line a refusal

Now the start, each second and the end of such a time are logged with the figures of each use, what is allocated (crate cap, which counts at the allocator) and what is resident (crate memory-stats); SIGUSR1 prints the same. read_out_bytes counts what is read from clients while the memory for incomplete requests is full.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -71,6 +71,8 @@
     aborted,
     /// Incomplete requests refused because their memory was needed for others.
     incomplete_shed,
+    /// Bytes read from clients while the memory for incomplete requests was full.
+    read_out_bytes,
     /// Times that requests of a client waited for memory for their bodies.
     requests_delayed,
     /// Answers whose body was read only after a wait for memory.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod front;
 pub mod handover;
 pub mod log;
+pub mod memory;
 pub mod operator;
 pub mod ops;
 pub mod plugins;
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -302,6 +302,11 @@
         (self.network.max_descriptors as f64 * CLIENT_SOCKET_SHARE) as usize
     }
 
+    /// Returns the number of bytes in bodies of open requests.
+    pub fn body_bytes(&self) -> usize {
+        self.pending_body_bytes
+    }
+
     /// Returns how many bytes are left for the bodies of requests.
     pub fn body_memory_left(&self) -> usize {
         let limit = (self.network.memory_bytes as f64 * BODY_MEMORY_SHARE) as usize;
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -395,7 +395,7 @@
             self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
             self.inbox.extend(refused.into_iter().map(|event| client_input(key, event)));
             self.reducer.counters.incomplete_shed += 1;
-            log_line!("memory limit for incomplete requests reached; refusing the longest stalled");
+            self.record_relief(now);
         }
     }
 
@@ -406,7 +406,10 @@
         let mut read = 0;
         while read < MAX_READ_OUT_BYTES {
             match self.receive_from_client(key) {
-                ReceiveOutcome::Received(bytes) => read += bytes,
+                ReceiveOutcome::Received(bytes) => {
+                    read += bytes;
+                    self.reducer.counters.read_out_bytes += bytes as u64;
+                }
                 ReceiveOutcome::Nothing => {
                     self.queue_requests(key, UnreadInput::None);
                     return read;
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod lingering;
 mod machines;
+mod memory;
 mod operators;
 mod plugins;
 mod socket;
@@ -162,11 +163,15 @@
     dials: BTreeMap<DialKey, (ConnectionKey, Endpoint, PolledSocket)>,
     /// The memory of answers that arrive or are not sent yet.
     answer_memory: AnswerMemory,
+    /// The memory limit of the process.
+    memory_bytes: usize,
     /// Bytes of incomplete requests.
     incoming_bytes: usize,
     max_incoming_bytes: usize,
     /// Bytes in bodies of complete requests that are held back, which may be as many.
     held_bytes: usize,
+    /// The use of memory while requests are refused for it.
+    memory_relief: Option<memory::Relief>,
     /// Clients whose requests wait for memory, the longest first.
     awaiting_memory: VecDeque<u64>,
     /// Clients whose requests are held back until nothing more has arrived for a moment, with its end.
@@ -275,8 +280,10 @@
         connection_sockets: BTreeMap::new(),
         dials: BTreeMap::new(),
         answer_memory: AnswerMemory::new(memory_share(config.net.memory_bytes, ANSWER_MEMORY_SHARE)),
+        memory_bytes: config.net.memory_bytes,
         incoming_bytes: 0,
         held_bytes: 0,
+        memory_relief: None,
         awaiting_memory: VecDeque::new(),
         settling: BTreeMap::new(),
         max_incoming_bytes: memory_share(config.net.memory_bytes, INCOMING_MEMORY_SHARE),
@@ -432,6 +439,7 @@
                     log_line!(always;
                         "now clients={clients} links={links} requests={requests} machines={machines}");
                     log_line!(always; "{}", self.reducer.counters);
+                    log_line!(always; "{}", self.memory_figures());
                     for (name, counts) in self.reducer.plugins().into_iter().flat_map(|all| all.counts()) {
                         log_line!(always; "plug-in {name}: {counts:?}");
                     }
@@ -474,6 +482,7 @@
             self.sweep(now);
             self.sweep_callers(now);
             self.log_drain_progress(now);
+            self.log_memory_relief(now);
             self.sync_state();
             self.inbox.push(Input::ClocksRead { unix: UnixTime::now() });
         }
@@ -679,6 +688,7 @@
         if config.listen != self.listen_address || config.settings != *self.reducer.settings() {
             log_line!(always; "changes of the listen address or the settings take effect after a restart");
         }
+        self.memory_bytes = config.net.memory_bytes;
         self.max_incoming_bytes = memory_share(config.net.memory_bytes, INCOMING_MEMORY_SHARE);
         self.answer_memory.set_limit(memory_share(config.net.memory_bytes, ANSWER_MEMORY_SHARE));
         self.max_sockets = config.net.max_descriptors;
