--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -16,6 +16,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub mod crowd;
 pub mod flow;
 pub mod slow_reader;
 
@@ -118,7 +119,8 @@
     pub fn start(test: &str, setup: &RouterSetup) -> Self {
         let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("rig-{test}.json"));
         std::fs::write(&path, setup.json()).expect("written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_frostturn"))
+        let program = std::env::var_os("FROSTTURN_PROGRAM");
+        let mut child = Command::new(program.unwrap_or_else(|| env!("CARGO_BIN_EXE_frostturn").into()))
             .args(&setup.options)
             .env("PROXY_CONFIG", path)
             .env("TMPDIR", setup.tmp.clone().unwrap_or_else(std::env::temp_dir))
@@ -169,10 +171,24 @@
 
     /// Returns the memory of the process's own in bytes, without the pages of its program and libraries.
     pub fn anonymous_bytes(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let text = std::fs::read_to_string(path).expect("it runs");
-        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a figure");
-        1024 * line.split_whitespace().next().and_then(|kb| kb.parse::<u64>().ok()).expect("a number")
+        self.try_anonymous_bytes().expect("it runs")
+    }
+
+    /// Like [`Router::anonymous_bytes`]; `None` if the process has exited.
+    pub fn try_anonymous_bytes(&self) -> Option<u64> {
+        self.status_bytes("RssAnon:")
+    }
+
+    /// Returns the peak of the resident set in bytes, the pages of program and libraries included.
+    pub fn peak_resident_bytes(&self) -> u64 {
+        self.status_bytes("VmHWM:").expect("it runs")
+    }
+
+    /// Returns a figure that the kernel states in KB, in bytes.
+    fn status_bytes(&self, name: &str) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse::<u64>().ok().map(|kb| 1024 * kb)
     }
 
     /// Returns the number of open file descriptors.
@@ -556,6 +572,14 @@
 
     /// Waits for the complete answer to a request; `None` if the connection ends without one.
     pub fn answer(&mut self, request: u16) -> Option<String> {
+        match self.receive_answer(request) {
+            Ok(answer) => answer,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => None,
+            Err(e) => panic!("neither an answer nor a close: {e}"),
+        }
+    }
+
+    fn receive_answer(&mut self, request: u16) -> std::io::Result<Option<String>> {
         let mut buffer = [0; 64 * 1024];
         loop {
             while let Some(record) = self.decoder.next_record().expect("readable") {
@@ -567,21 +591,23 @@
                 }
             }
             if self.answers.get(&request).is_some_and(|answer| answer.1) {
-                return self.answers.remove(&request).map(|answer| answer.0);
+                return Ok(self.answers.remove(&request).map(|answer| answer.0));
             }
-            match self.stream.read(&mut buffer) {
-                Ok(0) => return None,
-                Ok(bytes) => self.decoder.feed(&buffer[..bytes]),
-                Err(e) if e.kind() == ErrorKind::ConnectionReset => return None,
-                Err(e) => panic!("neither an answer nor a close: {e}"),
+            match self.stream.read(&mut buffer)? {
+                0 => return Ok(None),
+                bytes => self.decoder.feed(&buffer[..bytes]),
             }
         }
     }
 
     /// Waits for the answer to a request and returns its status code.
     pub fn status(&mut self, request: u16) -> u16 {
-        let answer = self.answer(request).expect("an answer");
-        answer["Status: ".len()..].split(' ').next().and_then(|status| status.parse().ok()).expect("a status")
+        status_of(&self.answer(request).expect("an answer"))
+    }
+
+    /// Like [`Client::status`]; `None` if the connection ends, or a read times out, without an answer.
+    pub fn try_status(&mut self, request: u16) -> Option<u16> {
+        self.receive_answer(request).ok().flatten().map(|answer| status_of(&answer))
     }
 
     /// Waits for data or a close, and returns whether the router closed the connection without a reset and
@@ -591,6 +617,10 @@
     }
 }
 
+fn status_of(answer: &str) -> u16 {
+    answer["Status: ".len()..].split(' ').next().and_then(|status| status.parse().ok()).expect("a status")
+}
+
 /// A scripted discovery service.
 pub struct DiscoveryServer {
     pub address: String,
