Crowd: compute the fields of a head once, so that its driver stops no process

Traced: the listen queue overflowed, the router was idle, and the driver took over 5 s to compute 5,000 fields for each of 60 heads a connection while the process stood still. The time that it stands still is bounded now (0.5 s).

--- a/tests/rig/crowd.rs
+++ b/tests/rig/crowd.rs
@@ -15,6 +15,8 @@
 
 /// Time for which a crowd plays.
 const PLAY_TIME: Duration = Duration::from_millis(2500);
+/// Time for which a process stands still while the crowd arrives.
+const PAUSE: Duration = Duration::from_millis(500);
 /// Most bytes that one client writes in a step.
 const MAX_STEP_BYTES: usize = 64 * 1024;
 /// Size of the router's limit on one request's parameters, nearly.
@@ -183,7 +185,10 @@
             }
             let mut crowd = self.gather(&router);
             if self.arrives_at_once {
-                (0..20).for_each(|_| crowd.iter_mut().for_each(|one| one.step(&router, Instant::now())));
+                let paused = Instant::now();
+                while paused.elapsed() < PAUSE {
+                    crowd.iter_mut().for_each(|one| one.step(&router, Instant::now()));
+                }
                 router.resume();
             }
             let started = Instant::now();
@@ -303,6 +308,9 @@
 struct Member {
     number: u64,
     behavior: Behavior,
+    /// Fields that fill the parameters, and the size of each in bytes.
+    fields: Vec<u8>,
+    field_bytes: usize,
     stream: Option<TcpStream>,
     /// Bytes to be written.
     queue: Vec<u8>,
@@ -320,9 +328,17 @@
     fn new(number: u64, behavior: Behavior, router: &Router) -> Self {
         let now = Instant::now();
         let late = if behavior.reading == Reading::Late { PLAY_TIME / 2 } else { Duration::ZERO };
+        let (mut fields, mut field_bytes) = (Vec::new(), 1);
+        if let Head::ManyFields(bytes) = behavior.head {
+            let name = vec![b'a'; (bytes - 2).min(100)];
+            fastcgi::pair(&mut fields, &name, &vec![b'v'; bytes - 2 - name.len()]);
+            (fields, field_bytes) = (fields.repeat(LONG_PARAMS_BYTES / bytes), bytes);
+        }
         let mut member = Self {
             number,
             behavior,
+            fields,
+            field_bytes,
             stream: None,
             queue: Vec::new(),
             written: 0,
@@ -433,12 +449,8 @@
         ] {
             fastcgi::pair(&mut params, name.as_bytes(), value.as_bytes());
         }
-        if let Head::ManyFields(bytes) = head {
-            let name = vec![b'a'; (bytes - 2).min(100)];
-            while params.len() + bytes <= LONG_PARAMS_BYTES {
-                fastcgi::pair(&mut params, &name, &vec![b'v'; bytes - 2 - name.len()]);
-            }
-        }
+        let room = LONG_PARAMS_BYTES - params.len();
+        params.extend_from_slice(&self.fields[..self.fields.len().min(room - room % self.field_bytes)]);
         match progress {
             Progress::Begun => {}
             Progress::PartOfHead => {
