Read from a client only where there is room for it, and let relief only free memory

Cause: the limit on incomplete requests was looked at after reading, and relief read: before a request was refused its client was read out, up to 128 KB, 512 KB a call, and the call returned above the limit. A client read out counted as progressing, so the next one was read out instead of refusing. Each refusal also walked all requests of all clients, so kernels filled meanwhile. Class: relief that takes in more than it frees.

Fix: room for one portion and what it may take beyond its bytes (parameters and bodies grow by 512 bytes now, not by doubling) is made before a client is read; else it waits 5 ms and is read then. Relief refuses in the same order, 512 requests per walk, until an eighth is free, and reads nothing. A request whose next bytes stand in the kernel (FIONREAD) hasn't stalled, which reading out was for. If refusing all is not enough, the connection with the most undecoded input is closed (client_closed_no_memory). A client that was not read for memory is not closed as idle or spare.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -71,8 +71,11 @@
     aborted,
     /// Incomplete requests refused because their memory was needed for others.
     incomplete_shed,
-    /// Bytes read from clients while the memory for incomplete requests was full.
-    read_out_bytes,
+    /// Reads from clients while the memory for incomplete requests was full, which should not occur unless the
+    /// limit was lowered.
+    read_over_limit,
+    /// Times that reading from a client waited for memory.
+    reads_delayed,
     /// Times that requests of a client waited for memory for their bodies.
     requests_delayed,
     /// Answers whose body was read only after a wait for memory.
--- a/src/front.rs
+++ b/src/front.rs
@@ -22,6 +22,12 @@
 const MAX_CONTROL_RECORD_BYTES: usize = 4 * 1024;
 /// Memory that an incomplete request takes besides its parameters and body, in bytes.
 const BYTES_PER_INCOMPLETE_REQUEST: usize = 256;
+/// Parameters and bodies grow in steps of this many bytes.
+const GROWTH_STEP_BYTES: usize = 512;
+/// What a connection may take, at most, beyond the bytes that it receives at once: for each request its state, and
+/// a step of its parameters and of its body.
+pub const MAX_RECEIVE_OVERHEAD_BYTES: usize =
+    MAX_OPEN_REQUESTS * (BYTES_PER_INCOMPLETE_REQUEST + 2 * GROWTH_STEP_BYTES);
 /// Complete requests are held back for this long, at most, while more input of their client waits to be read: it
 /// may take them back, or its end may show that the client has left.
 const MAX_HOLD_MS: Millis = 100.0;
@@ -123,8 +129,8 @@
         }
     }
 
-    fn shed_order(&self, now: Millis) -> ShedOrder {
-        let is_progressing = now - self.received_at < STALLED_AFTER_MS;
+    fn shed_order(&self, now: Millis, has_unread_input: bool) -> ShedOrder {
+        let is_progressing = has_unread_input || now - self.received_at < STALLED_AFTER_MS;
         let since = if is_progressing { self.started_at } else { self.received_at };
         ShedOrder { is_progressing, since_us: (since * 1000.0) as u64 }
     }
@@ -364,7 +370,7 @@
                 Err(ProtocolError::Malformed("parameters too long"))
             }
             (kind::PARAMS, Stage::Params) => {
-                open.params.extend_from_slice(&content);
+                append(&mut open.params, &content);
                 Ok(None)
             }
             (kind::PARAMS, _) => Err(ProtocolError::Malformed("parameters after their end")),
@@ -376,7 +382,7 @@
                 Ok(Some(ClientEvent::Request(serial, Err("the body is too big"), 0.0)))
             }
             (kind::STDIN, Stage::Body) if !content.is_empty() => {
-                open.body.extend_from_slice(&content);
+                append(&mut open.body, &content);
                 Ok(None)
             }
             (kind::STDIN, Stage::Body) => {
@@ -539,23 +545,35 @@
         incomplete.map(refuse).collect()
     }
 
-    /// Returns the order of the incomplete request that is refused first when memory is full; `None` if no
-    /// request is incomplete.
-    pub fn shed_order(&self, now: Millis) -> Option<ShedOrder> {
-        let incomplete = self.open.values().filter(|open| open.is_incomplete());
-        incomplete.map(|open| open.shed_order(now)).min()
+    /// Whether any request is incomplete.
+    pub fn has_incomplete_requests(&self) -> bool {
+        self.open.values().any(OpenRequest::is_incomplete)
     }
 
-    /// Refuses the incomplete request that is first in order. It is owed an answer; the rest of its input is
-    /// discarded.
-    pub fn refuse_first(&mut self, now: Millis, reason: Refusal) -> Option<ClientEvent> {
-        let incomplete = self.open.values_mut().filter(|open| open.is_incomplete());
-        let open = incomplete.min_by_key(|open| open.shed_order(now))?;
+    /// Returns the incomplete requests, with the order in which they are refused when memory is full.
+    /// `has_unread_input`: more of them waits to be read, so that none has stalled.
+    pub fn shed_candidates(
+        &self,
+        now: Millis,
+        has_unread_input: bool,
+    ) -> impl Iterator<Item = (ShedOrder, u16)> + '_ {
+        let incomplete = self.open.iter().filter(|(_, open)| open.is_incomplete());
+        incomplete.map(move |(request, open)| (open.shed_order(now, has_unread_input), *request))
+    }
+
+    /// Refuses an incomplete request. It is owed an answer; the rest of its input is discarded.
+    pub fn refuse(&mut self, request: u16, reason: Refusal) -> Option<ClientEvent> {
+        let open = self.open.get_mut(&request).filter(|open| open.is_incomplete())?;
         open.end_input(Stage::Rejected);
         self.had_request = true;
         Some(ClientEvent::RequestTruncated(open.serial, reason))
     }
 
+    /// Returns the memory of input that was not decoded, in bytes.
+    pub fn undecoded_bytes(&self) -> usize {
+        self.decoder.capacity()
+    }
+
     /// Whether no request is open and no answer unwritten. A partial record may be buffered.
     pub fn all_answers_sent(&self) -> bool {
         self.open.is_empty() && self.unwritten_bytes == 0
@@ -698,6 +716,15 @@
     }
 }
 
+/// Appends to a buffer, which grows by little more than what it is to hold.
+fn append(buffer: &mut Vec<u8>, content: &[u8]) {
+    let needed = buffer.len() + content.len();
+    if needed > buffer.capacity() {
+        buffer.reserve_exact(needed.next_multiple_of(GROWTH_STEP_BYTES) - buffer.len());
+    }
+    buffer.extend_from_slice(content);
+}
+
 /// Returns the value of a parameter; `None` if it is absent or empty. A parameter that occurs twice is an
 /// error.
 fn param<'a>(pairs: &[(&'a [u8], &'a [u8])], name: &'static str) -> Result<Option<&'a str>, &'static str> {
--- a/src/reasons.rs
+++ b/src/reasons.rs
@@ -66,6 +66,8 @@
         Idle: "idle", "idle for too long";
         /// The client reads none of the answers written to it.
         WriteTimeout: "deaf", "the client reads no answers";
+        /// The client sent a part of a record, and its memory was needed for others.
+        MemoryFull: "no_memory", "no memory for a partial record";
         /// The connection's descriptor was needed for another client.
         Shed: "shed", "shed to free a descriptor";
         /// The router is being emptied or terminates, and no request is open on the connection.
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -6,22 +6,16 @@
 use crate::api::Millis;
 use crate::errno::{self, ErrorClass};
 use crate::front::{self, Conn, TimeoutStatus, UnreadInput};
-use crate::reasons::{ClientClose, Reason as _, Refusal, Violation};
+use crate::reasons::{ClientClose, Reason as _, Violation};
 use crate::reducer::{Input, RequestKey};
 use crate::{log_line, trace_event};
 use rustix::io::Errno;
 use socket2::Socket;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Bytes read from one client before other sockets are served: a client that sends at full speed delays others
 /// by the time that one such portion takes.
-const MAX_READ_BYTES: usize = 64 * 1024;
-/// Bytes read from a client before a request of its is refused for lack of memory, so that its rest counts if it
-/// has arrived.
-const MAX_READ_OUT_BYTES: usize = 128 * 1024;
-/// Bytes read in all for this purpose before what was read is handled.
-const MAX_TOTAL_READ_OUT_BYTES: usize = 512 * 1024;
+pub(super) const MAX_READ_BYTES: usize = 64 * 1024;
 /// Share of the limit on requests held back beyond which clients wait. The rest is left for one portion of each.
 const HOLD_SHARE: f64 = 0.25;
 /// Connections accepted before other sockets are served.
@@ -69,6 +63,8 @@
     Received(usize),
     /// Nothing can be read now.
     Nothing,
+    /// There is no memory for what may wait to be read.
+    NoMemory,
     /// The connection must be closed for this reason.
     Ended(ClientClose),
 }
@@ -157,7 +153,8 @@
                 check_kernel(now, socket, conn);
                 conn.shed_priority(now).is_none() || !conn.can_close(now) || socket.has_unsent_bytes()
             };
-            if self.read_client_now(key).is_none() && self.clients.get_mut(&key).is_none_or(in_use) {
+            let ended = self.read_client_now(key).is_some();
+            if !ended && (self.awaits_input_room(key) || self.clients.get_mut(&key).is_none_or(in_use)) {
                 continue;
             }
             self.reducer.counters.clients_shed += 1;
@@ -193,6 +190,7 @@
     pub(super) fn close_idle_client(&mut self, key: u64, reason: ClientClose) {
         match self.read_client_now(key) {
             Some(reason) => self.flush_and_close_client(key, reason),
+            None if self.awaits_input_room(key) => {}
             None if self.clients.get(&key).is_some_and(|(_, conn)| conn.can_close_cleanly(self.now())) => {
                 self.close_client(key, reason);
             }
@@ -224,11 +222,9 @@
             match self.receive_from_client(key) {
                 ReceiveOutcome::Received(bytes) => read += bytes,
                 ReceiveOutcome::Nothing => break UnreadInput::None,
+                ReceiveOutcome::NoMemory => break UnreadInput::Waits,
                 ReceiveOutcome::Ended(reason) => return Some(reason),
             }
-            if self.incoming_bytes > self.max_incoming_bytes {
-                self.shed_incomplete_requests();
-            }
             self.limit_held_requests(key);
             if read >= MAX_READ_BYTES {
                 self.runnable.insert(Source::Front(key));
@@ -339,11 +335,21 @@
     /// Reads from a client once.
     fn receive_from_client(&mut self, key: u64) -> ReceiveOutcome {
         let now = self.now();
-        let Some((socket, conn)) = self.clients.get_mut(&key) else { return ReceiveOutcome::Nothing };
+        let Some((socket, conn)) = self.clients.get(&key) else { return ReceiveOutcome::Nothing };
         let memory_lacks = self.answer_memory.is_full() && conn.has_output_backlog();
         if !socket.readable || !conn.may_read() || memory_lacks {
             return ReceiveOutcome::Nothing;
         }
+        if !self.make_input_room() {
+            self.await_input_room(key);
+            return ReceiveOutcome::NoMemory;
+        }
+        let Some((socket, conn)) = self.clients.get_mut(&key).filter(|(_, conn)| conn.may_read()) else {
+            return ReceiveOutcome::Nothing;
+        };
+        if self.incoming_bytes >= self.max_incoming_bytes {
+            self.reducer.counters.read_over_limit += 1;
+        }
         let bytes = match socket.read(&mut self.buffer) {
             Ok(bytes) => bytes,
             Err(IoStatus::Closed) => return ReceiveOutcome::Ended(ClientClose::PeerClosed),
@@ -374,58 +380,8 @@
         ReceiveOutcome::Received(bytes)
     }
 
-    /// Refuses incomplete requests in their [`ShedOrder`](front::ShedOrder) until the others fit into their
-    /// share of the memory. Reads from a client before its request is refused: the rest of it may have
-    /// arrived, and then the request counts as received.
-    fn shed_incomplete_requests(&mut self) {
-        let (mut read_out, mut bytes_read_out) = (BTreeSet::new(), 0);
-        while self.incoming_bytes > self.max_incoming_bytes && bytes_read_out < MAX_TOTAL_READ_OUT_BYTES {
-            let now = self.now();
-            let shed_order = |conn: &Conn| conn.shed_order(now);
-            let candidates =
-                self.clients.iter().filter_map(|(key, (_, conn))| Some((shed_order(conn)?, *key)));
-            let Some((_, key)) = candidates.min() else { return };
-            if read_out.insert(key) {
-                bytes_read_out += self.read_out_client(key);
-                continue;
-            }
-            let Some((_, conn)) = self.clients.get_mut(&key) else { return };
-            let before = conn.buffered_bytes();
-            let refused = conn.refuse_first(now, Refusal::BodyMemoryFull);
-            self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
-            self.inbox.extend(refused.into_iter().map(|event| client_input(key, event)));
-            self.reducer.counters.incomplete_shed += 1;
-            self.record_relief(now);
-        }
-    }
-
-    /// Reads what has arrived from a client, without making room for it. Returns the number of bytes.
-    fn read_out_client(&mut self, key: u64) -> usize {
-        let Some((socket, _)) = self.clients.get_mut(&key) else { return 0 };
-        socket.readable = true;
-        let mut read = 0;
-        while read < MAX_READ_OUT_BYTES {
-            match self.receive_from_client(key) {
-                ReceiveOutcome::Received(bytes) => {
-                    read += bytes;
-                    self.reducer.counters.read_out_bytes += bytes as u64;
-                }
-                ReceiveOutcome::Nothing => {
-                    self.queue_requests(key, UnreadInput::None);
-                    return read;
-                }
-                ReceiveOutcome::Ended(reason) => {
-                    self.flush_and_close_client(key, reason);
-                    return read;
-                }
-            }
-        }
-        self.runnable.insert(Source::Front(key));
-        read
-    }
-
     /// Stops reading from a client. Its complete requests are answered, and then its connection is closed.
-    fn stop_reading_client(&mut self, key: u64, reason: ClientClose) {
+    pub(super) fn stop_reading_client(&mut self, key: u64, reason: ClientClose) {
         self.release_requests(key);
         let Some((_, conn)) = self.clients.get_mut(&key) else { return };
         self.incoming_bytes -= conn.buffered_bytes();
@@ -477,6 +433,7 @@
             ClientClose::Shed => false, // Lingering would keep the descriptor that is needed.
             ClientClose::Unreadable
             | ClientClose::RequestTimeout
+            | ClientClose::MemoryFull
             | ClientClose::Idle
             | ClientClose::WriteTimeout
             | ClientClose::Draining
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -57,10 +57,11 @@
             return self.flush_and_close_client(key, reason);
         }
         let now = self.now();
+        let may_have_sent = self.awaits_input_room(key);
         let Some((socket, conn)) = self.clients.get_mut(&key) else { return };
         check_kernel(now, socket, conn);
         if !self.reducer.service().closes_busy(now, conn.latest_request_at()) {
-            return match conn.can_close_cleanly(now) {
+            return match conn.can_close_cleanly(now) && !may_have_sent {
                 true => self.close_client(key, ClientClose::Draining),
                 // Something has just been received, or is still to be read.
                 false if conn.all_answers_sent() => {}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -170,6 +170,9 @@
     max_incoming_bytes: usize,
     /// Bytes in bodies of complete requests that are held back, which may be as many.
     held_bytes: usize,
+    /// Clients from which nothing is read for lack of memory, and when that is tried again.
+    awaiting_input_room: BTreeSet<u64>,
+    resume_input_at: Option<Millis>,
     /// The use of memory while requests are refused for it.
     memory_relief: Option<memory::Relief>,
     /// Clients whose requests wait for memory, the longest first.
@@ -283,6 +286,8 @@
         memory_bytes: config.net.memory_bytes,
         incoming_bytes: 0,
         held_bytes: 0,
+        awaiting_input_room: BTreeSet::new(),
+        resume_input_at: None,
         memory_relief: None,
         awaiting_memory: VecDeque::new(),
         settling: BTreeMap::new(),
@@ -416,6 +421,7 @@
             self.next_drain_check(),
             handover,
             self.resume_accept_at,
+            self.resume_input_at,
             self.exit_by,
             self.shortage_retry_at,
             self.retry_reload_at,
@@ -464,6 +470,9 @@
             self.resume_accept_at = None;
             self.runnable.insert(Source::Listener);
         }
+        if self.resume_input_at.is_some_and(|at| at <= now) {
+            self.resume_input();
+        }
         if self.retry_reload_at.is_some_and(|at| at <= now) {
             self.reload();
         }
--- a/src/runtime/socket.rs
+++ b/src/runtime/socket.rs
@@ -126,6 +126,11 @@
         perform_io(&mut self.readable, || (&*self.stream).read(buffer))
     }
 
+    /// Returns whether input waits to be read. False where that can't be asked.
+    pub(super) fn has_unread_input(&self) -> bool {
+        rustix::io::ioctl_fionread(&*self.stream).is_ok_and(|bytes| bytes > 0)
+    }
+
     /// Returns whether the peer has closed its side, although what it sent before may still have to be read.
     pub(super) fn peer_has_closed(&self) -> bool {
         const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
