Count a client's output as it is allocated, and read little from one that doesn't take it

What callers would see: memory beyond the answers' share, and answers of others delayed by it.

Cause: (a) the account of answers was charged with unwritten bytes, so a record of 32 KB of which one byte was left counted as a byte; with 540 slow readers 17 MB no one counted. (b) A client that takes nothing was read 64 KB at a time while under 16 KB of its output stood unwritten, and such input (queries, beginnings that are rejected) is answered with up to twice its size: 540 x 80 KB before the next look.

Fix: the queue is charged with the capacity of its records until their last byte is written; a client with output is read 8 KB at a time, and, with 16 KB of it, not at all while the account is half full (it was: full), so that garbage leaves half of it to answers.

Test: a_record_counts_until_its_last_byte_is_written (no such figure before).

--- a/src/answer_memory.rs
+++ b/src/answer_memory.rs
@@ -27,7 +27,7 @@
     /// Bodies being read, by the connection that they arrive on.
     arriving: BTreeMap<ConnectionKey, usize>,
     arriving_total: usize,
-    /// Bytes queued for clients and not sent.
+    /// Memory of what is queued for clients and not sent.
     unsent: usize,
     /// Bodies that wait, the longest first.
     waiting: VecDeque<Waiting>,
@@ -51,9 +51,9 @@
         self.arriving_total + self.unsent
     }
 
-    /// Whether the account is full, so that nothing should be taken on that may wait.
-    pub fn is_full(&self) -> bool {
-        self.charged() >= self.limit
+    /// Whether the account is half full, so that nothing should be taken on for clients that read nothing.
+    pub fn is_half_full(&self) -> bool {
+        self.charged() >= self.limit / 2
     }
 
     /// Charges a body that is about to be read. Returns false if it must wait;
@@ -97,7 +97,7 @@
         self.overdue = self.overdue.filter(|overdue| *overdue != connection);
     }
 
-    /// Records that a client's queue has changed from one length in bytes to another.
+    /// Records that the memory of a client's output queue has changed, in bytes.
     pub fn unsent_changed(&mut self, before: usize, after: usize) {
         self.unsent = self.unsent + after - before;
     }
--- a/src/answer_memory/tests.rs
+++ b/src/answer_memory/tests.rs
@@ -14,7 +14,12 @@
     assert_eq!((memory.take_admitted(2.0), memory.charged()), (vec![], 600), "it is still to be sent");
     memory.unsent_changed(600, 400);
     assert_eq!((memory.take_admitted(3.0), memory.charged()), (vec![2, 3], 1000));
-    assert!(memory.is_full());
+    assert!(memory.is_half_full());
+    [2, 3].into_iter().for_each(|connection| memory.release(connection));
+    memory.unsent_changed(0, 99);
+    assert!(!memory.is_half_full(), "{} of {LIMIT}", memory.charged());
+    memory.unsent_changed(0, 1);
+    assert!(memory.is_half_full());
 }
 
 #[test]
--- a/src/front.rs
+++ b/src/front.rs
@@ -49,8 +49,14 @@
 /// With this many bytes unwritten, new requests are rejected at once: a client that does not read gets no
 /// further answers. The connection is still read, because the client may abort requests or leave.
 const REJECT_UNWRITTEN_BYTES: usize = 1 << 20;
-/// With this many bytes unwritten, the connection is not read while the memory for answers is full.
+/// With this many bytes unwritten, the connection is not read while the memory for answers is half full: the rest
+/// is left for answers to clients that read.
 const OUTPUT_BACKLOG_BYTES: usize = 16 * 1024;
+/// Bytes read at once from a client that has not taken what was written to it: its input may be answered with
+/// twice its size.
+const MAX_READ_WITH_OUTPUT_BYTES: usize = 8 * 1024;
+/// Memory that a record in the output queue takes besides its bytes.
+const BYTES_PER_OUTPUT_RECORD: usize = 64;
 /// Records without a request, such as rejections, are queued together up to this size, as each queued buffer
 /// takes more memory than such a record.
 const MAX_JOINED_RECORDS_BYTES: usize = 4 * 1024;
@@ -197,6 +203,7 @@
     output_queue: VecDeque<(u16, Vec<u8>)>,
     front_written: usize,
     unwritten_bytes: usize,
+    output_memory_bytes: usize,
     retracted_bytes: usize,
     discarded_bytes: usize,
     opened_at: Millis,
@@ -466,9 +473,14 @@
         self.unwritten_bytes += record.len();
         match self.output_queue.back_mut() {
             Some((0, last)) if request == 0 && last.len() + record.len() <= MAX_JOINED_RECORDS_BYTES => {
+                let before = last.capacity();
                 last.extend_from_slice(&record);
+                self.output_memory_bytes += last.capacity() - before;
+            }
+            _ => {
+                self.output_memory_bytes += record_memory(&record);
+                self.output_queue.push_back((request, record));
             }
-            _ => self.output_queue.push_back((request, record)),
         }
     }
 
@@ -517,6 +529,7 @@
         kept.retain(|(of, _)| *of != request);
         let bytes = before - kept.iter().map(|(_, record)| record.len()).sum::<usize>();
         self.output_queue.append(&mut kept);
+        self.output_memory_bytes = self.output_queue.iter().map(|(_, record)| record_memory(record)).sum();
         self.unwritten_bytes -= bytes;
         self.retracted_bytes += bytes;
     }
@@ -675,7 +688,8 @@
         self.front_written += bytes;
         self.unwritten_bytes -= bytes;
         if self.output_queue.front().is_some_and(|(_, record)| self.front_written >= record.len()) {
-            self.output_queue.pop_front();
+            let written = self.output_queue.pop_front();
+            self.output_memory_bytes -= written.map_or(0, |(_, record)| record_memory(&record));
             self.front_written = 0;
         }
     }
@@ -700,12 +714,26 @@
         self.unwritten_bytes
     }
 
+    /// Returns the memory of the output queue, in bytes. A record takes it until its last byte is written.
+    pub fn output_memory(&self) -> usize {
+        self.output_memory_bytes
+    }
+
+    /// Returns how many bytes may be read at once.
+    pub fn max_read_bytes(&self) -> usize {
+        if self.unwritten_bytes > 0 {
+            MAX_READ_WITH_OUTPUT_BYTES
+        } else {
+            usize::MAX
+        }
+    }
+
     /// Whether the connection may be read.
     pub fn may_read(&self) -> bool {
         !self.reading_stopped && !self.awaits_memory && self.unwritten_bytes < STOP_READING_UNWRITTEN_BYTES
     }
 
-    /// Whether so much is unwritten that the connection is not read while the memory for answers is full.
+    /// Whether so much is unwritten that the connection is not read while the memory for answers runs short.
     pub fn has_output_backlog(&self) -> bool {
         self.unwritten_bytes >= OUTPUT_BACKLOG_BYTES
     }
@@ -716,6 +744,11 @@
     }
 }
 
+/// Returns the memory of a record in the output queue, in bytes.
+fn record_memory(record: &Vec<u8>) -> usize {
+    record.capacity() + BYTES_PER_OUTPUT_RECORD
+}
+
 /// Appends to a buffer, which grows by little more than what it is to hold.
 fn append(buffer: &mut Vec<u8>, content: &[u8]) {
     let needed = buffer.len() + content.len();
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -336,7 +336,7 @@
     fn receive_from_client(&mut self, key: u64) -> ReceiveOutcome {
         let now = self.now();
         let Some((socket, conn)) = self.clients.get(&key) else { return ReceiveOutcome::Nothing };
-        let memory_lacks = self.answer_memory.is_full() && conn.has_output_backlog();
+        let memory_lacks = self.answer_memory.is_half_full() && conn.has_output_backlog();
         if !socket.readable || !conn.may_read() || memory_lacks {
             return ReceiveOutcome::Nothing;
         }
@@ -350,7 +350,8 @@
         if self.incoming_bytes >= self.max_incoming_bytes {
             self.reducer.counters.read_over_limit += 1;
         }
-        let bytes = match socket.read(&mut self.buffer) {
+        let portion = conn.max_read_bytes().min(self.buffer.len());
+        let bytes = match socket.read(&mut self.buffer[..portion]) {
             Ok(bytes) => bytes,
             Err(IoStatus::Closed) => return ReceiveOutcome::Ended(ClientClose::PeerClosed),
             Err(IoStatus::Broken) => return ReceiveOutcome::Ended(ClientClose::PeerReset),
@@ -360,12 +361,12 @@
                 return ReceiveOutcome::Nothing;
             }
         };
-        let (before, unwritten) = (conn.buffered_bytes(), conn.unwritten_bytes());
+        let (before, output_before) = (conn.buffered_bytes(), conn.output_memory());
         let held_before = conn.held_bytes();
         let (events, fault) = conn.receive(now, &self.buffer[..bytes]);
         self.incoming_bytes = self.incoming_bytes + conn.buffered_bytes() - before;
         self.held_bytes = self.held_bytes + conn.held_bytes() - held_before;
-        self.answer_memory.unsent_changed(unwritten, conn.unwritten_bytes());
+        self.answer_memory.unsent_changed(output_before, conn.output_memory());
         let retracted = conn.take_retracted_bytes();
         if retracted > 0 {
             self.inbox.push(Input::Flushed { conn: key, bytes: retracted });
@@ -394,6 +395,7 @@
     pub(super) fn write_client(&mut self, key: u64) -> Option<ClientClose> {
         let (mut written, now) = (0, self.now());
         let (socket, conn) = self.clients.get_mut(&key)?;
+        let output_before = conn.output_memory();
         let mut shortage = false;
         let reason = loop {
             let Some(bytes) = conn.output().filter(|_| socket.writable) else { break None };
@@ -411,7 +413,7 @@
             }
         };
         let retry = shortage;
-        self.answer_memory.unsent_changed(written, 0);
+        self.answer_memory.unsent_changed(output_before, conn.output_memory());
         // Reading may have stopped because of what was unwritten.
         if written > 0 && socket.readable {
             self.runnable.insert(Source::Front(key));
@@ -474,7 +476,7 @@
         self.incoming_bytes -= conn.buffered_bytes();
         self.held_bytes -= conn.held_bytes();
         self.settling.remove(&key);
-        self.answer_memory.unsent_changed(unwritten, 0);
+        self.answer_memory.unsent_changed(conn.output_memory(), 0);
         self.inbox.push(Input::ConnectionClosed { conn: key });
         Some(socket)
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -626,9 +626,9 @@
         match effect {
             Effect::Answer { key, reply } => {
                 if let Some((_, conn)) = self.clients.get_mut(&key.conn) {
-                    let before = conn.unwritten_bytes();
+                    let before = conn.output_memory();
                     let queued = conn.answer(key.serial, &reply);
-                    self.answer_memory.unsent_changed(before, conn.unwritten_bytes());
+                    self.answer_memory.unsent_changed(before, conn.output_memory());
                     self.runnable.insert(Source::Front(key.conn));
                     // The client aborted the request in the same cycle: the answer is not sent, so its memory
                     // counts as flushed.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -992,6 +992,24 @@
     assert!(writes <= 4 && !conn.has_output_backlog(), "{rejected} rejections in {writes} buffers");
 }
 
+/// Guards against output whose memory is counted as less than what it takes.
+#[test]
+fn a_record_counts_until_its_last_byte_is_written() {
+    let mut conn = Conn::new(0.0);
+    receive(&mut conn, 0.0, &request_bytes(1, "/ops/page", ID, b"")).expect("well-formed");
+    assert!(conn.answer(1, &Reply::Served(vec![7; 30_000])));
+    let (first, before) = (conn.output().map_or(0, <[u8]>::len), conn.output_memory());
+    assert!(before > conn.unwritten_bytes() && conn.max_read_bytes() < 10_000);
+    conn.wrote(0.0, first - 1);
+    assert_eq!(conn.output_memory(), before);
+    conn.wrote(0.0, 1);
+    assert!(conn.output_memory() < before - first);
+    while let Some(bytes) = conn.output().map(<[u8]>::len) {
+        conn.wrote(0.0, bytes);
+    }
+    assert_eq!((conn.output_memory(), conn.max_read_bytes()), (0, usize::MAX));
+}
+
 #[test]
 fn a_connection_may_close_once_its_client_has_read_what_was_written() {
     /// Answers one more request with 200,000 bytes and writes all of them at once.
