Count requests that are held back or queued with their heads

Cause: held_bytes summed bodies; the queue of inputs was counted by nobody, and emptied only after all clients had been read.

Fix: both accounts take what a request takes with its texts, as allocated. Nothing is read while more than a share waits in the queue. The queue has a module of its own.

--- a/src/front.rs
+++ b/src/front.rs
@@ -322,9 +322,9 @@
         (self.more_may_follow && !self.held.is_empty()).then_some(self.last_activity_at + SETTLE_MS)
     }
 
-    /// Returns the number of bytes in bodies of requests that are held back.
+    /// Returns the memory of requests that are held back, in bytes.
     pub fn held_bytes(&self) -> usize {
-        self.held.iter().map(|held| held.request.body.len()).sum()
+        self.held.iter().map(|held| held.request.memory_bytes()).sum()
     }
 
     /// Returns when requests stop waiting for memory; `None` if none waits.
--- a/src/reducer/words.rs
+++ b/src/reducer/words.rs
@@ -57,6 +57,16 @@
     pub body: Vec<u8>,
 }
 
+impl IncomingRequest {
+    /// Returns the memory that the request takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let optional = [&self.object, &self.client_tag].map(|text| text.as_ref().map_or(0, String::capacity));
+        let key = self.idempotency_key.as_ref().map_or(0, |key| key.len());
+        let texts = self.id.capacity() + self.class.capacity() + optional.iter().sum::<usize>() + key;
+        size_of::<Self>() + texts + self.body.capacity()
+    }
+}
+
 /// A request to a machine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutgoingRequest {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -154,6 +154,7 @@
                 conn.shed_priority(now).is_none() || !conn.can_close(now) || socket.has_unsent_bytes()
             };
             let ended = self.read_client_now(key).is_some();
+            self.process_inputs();
             if !ended && (self.awaits_input_room(key) || self.clients.get_mut(&key).is_none_or(in_use)) {
                 continue;
             }
@@ -183,7 +184,10 @@
         }
         self.reducer.counters.clients_stale += (expired.len() + idle.len()) as u64;
         expired.into_iter().for_each(|(key, reason)| self.flush_and_close_client(key, reason));
-        idle.into_iter().for_each(|(key, reason)| self.close_idle_client(key, reason));
+        for (key, reason) in idle {
+            self.close_idle_client(key, reason);
+            self.process_inputs();
+        }
     }
 
     /// Closes an idle connection, unless its client has just sent something.
@@ -245,7 +249,7 @@
         match is_refused || self.reducer.is_terminating() {
             true => self.queue_requests_within(key, unread, usize::MAX),
             false => {
-                let room = self.reducer.body_memory_left().saturating_sub(self.inbox.body_bytes());
+                let room = self.reducer.body_memory_left().saturating_sub(self.inbox.request_bytes());
                 self.queue_requests_within(key, unread, room);
             }
         }
--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -47,8 +47,10 @@
         };
         let due = self.clients.iter().filter(|(_, (_, conn))| is_due(conn));
         let due: Vec<u64> = due.map(|(key, _)| *key).collect();
-        due.into_iter().for_each(|key| self.drain_client(key));
-        self.process_inputs();
+        for key in due {
+            self.drain_client(key);
+            self.process_inputs();
+        }
     }
 
     /// Closes a connection, idle or not, after reading and answering what has been received on it.
@@ -113,6 +115,7 @@
             }
             self.release_requests(key);
             self.runnable.insert(Source::Front(key));
+            self.process_inputs();
         }
         self.inbox.push(Input::ListenerClosed);
     }
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -44,7 +44,7 @@
             allocated: measure::allocated_bytes(),
             incomplete: self.incoming_bytes,
             held: self.held_bytes,
-            queued: self.inbox.body_bytes(),
+            queued: self.inbox.request_bytes(),
             bodies: self.reducer.body_bytes(),
             answers: self.answer_memory.charged(),
         }
@@ -52,6 +52,9 @@
 
     /// Makes room for reading once from a client. Returns false if there is none.
     pub(super) fn make_input_room(&mut self) -> bool {
+        if self.inbox.request_bytes() > self.max_incoming_bytes {
+            return false; // What was read is handled first.
+        }
         if !self.has_input_room() {
             self.free_input_memory();
         }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -8,6 +8,7 @@
 mod events;
 mod fleet;
 mod handover;
+mod inbox;
 mod lingering;
 mod machines;
 mod memory;
@@ -32,6 +33,7 @@
 use crate::reducer::{Effect, Input, Reducer, Reply};
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Readiness, RegistrationToken};
+pub use inbox::Inbox;
 pub use plugins::read_program;
 use socket::{io_error, listen, register, PolledSocket};
 use socket2::Socket;
@@ -84,56 +86,6 @@
     Fleet,
 }
 
-/// The queue of inputs for the reducer.
-#[derive(Debug, Default)]
-pub struct Inbox(VecDeque<Input>);
-
-impl Inbox {
-    /// Adds an input. The progress of an attempt goes to the front: otherwise an attempt cancelled by a
-    /// queued input could be taken for unsent although it was sent. A client's close or abort removes the
-    /// client's queued requests, which the reducer has not seen, so that nothing is sent or dialled for them.
-    pub fn push(&mut self, input: Input) {
-        match input {
-            Input::Progressed { .. } => return self.0.push_front(input),
-            Input::ConnectionClosed { conn } => {
-                self.0.retain(|other| {
-                    !matches!(other, Input::RequestReceived { key, .. } | Input::Health { key } if key.conn == conn)
-                });
-            }
-            Input::Aborted { key: aborted } => {
-                let same =
-                    |other: &Input| matches!(other, Input::RequestReceived { key, .. } if *key == aborted);
-                if let Some(at) = self.0.iter().position(same) {
-                    self.0.remove(at);
-                    return;
-                }
-            }
-            _ => {}
-        }
-        self.0.push_back(input);
-    }
-
-    /// Returns the number of bytes in bodies of requests that the reducer has not seen.
-    fn body_bytes(&self) -> usize {
-        let bytes = |input: &Input| match input {
-            Input::RequestReceived { request: Ok(request), .. } => request.body.len(),
-            _ => 0,
-        };
-        self.0.iter().map(bytes).sum()
-    }
-
-    /// Removes and returns the next input.
-    pub fn pop(&mut self) -> Option<Input> {
-        self.0.pop_front()
-    }
-}
-
-impl Extend<Input> for Inbox {
-    fn extend<T: IntoIterator<Item = Input>>(&mut self, inputs: T) {
-        inputs.into_iter().for_each(|input| self.push(input));
-    }
-}
-
 /// The state of the event loop. Times are in milliseconds of the monotonic clock, see [`Runtime::now`].
 struct Runtime {
     handle: LoopHandle<'static, Runtime>,
@@ -149,6 +101,8 @@
     resume_accept_at: Option<Millis>,
     /// The listener is to be closed as soon as its queue is empty.
     closing_listener: bool,
+    /// Listening ends in this cycle.
+    stops_listening: bool,
     next_sweep_at: Millis,
     clients: BTreeMap<u64, (PolledSocket, Conn)>,
     /// The key of the newest client connection.
@@ -168,7 +122,7 @@
     /// Bytes of incomplete requests.
     incoming_bytes: usize,
     max_incoming_bytes: usize,
-    /// Bytes in bodies of complete requests that are held back, which may be as many.
+    /// Memory of complete requests that are held back, which may be as much.
     held_bytes: usize,
     /// Clients from which nothing is read for lack of memory, and when that is tried again.
     awaiting_input_room: BTreeSet<u64>,
@@ -274,6 +228,7 @@
         listener: Some((listener, token)),
         resume_accept_at: None,
         closing_listener: false,
+        stops_listening: false,
         next_sweep_at: SWEEP_INTERVAL_MS,
         clients: BTreeMap::new(),
         last_client: 0,
@@ -502,6 +457,10 @@
             self.inbox.push(Input::TimersDue);
         }
         self.process_inputs();
+        if std::mem::take(&mut self.stops_listening) {
+            self.stop_listening();
+            self.process_inputs();
+        }
         if self.handover.as_ref().is_some_and(|handover| handover.ms_until_due() <= 0.0) {
             self.sync_state();
             self.process_inputs();
@@ -670,7 +629,8 @@
                 self.answer_caller(caller, ops::telemetry_answer(&telemetry));
             }
             Effect::Log(text) => log_line!("{text}"),
-            Effect::StopListening => self.stop_listening(),
+            // Not here, as that reads from all clients, whose requests are handled one after the other.
+            Effect::StopListening => self.stops_listening = true,
             Effect::AuditDrain => self.audit_drain(),
             Effect::Exit { by } => self.exit_by = Some(by),
         }
