Read clients in portions of 16 KB, and none that leaves its rejections unread

What callers would see: answers of others wait while garbage fills the answers' share.

Cause: the output that one read makes was looked at only after 64 KB, and 2 MB a client were allowed; buffers of joined records grew by doubling.

Fix: portions of 16 KB, of 2 KB while the answers' memory is half full, and a write after each that was rejected; a client with over 8 KB of rejections or answers to queries in its queue isn't read (any, while the memory is half full). Joined buffers have their full size at once.

--- a/src/front.rs
+++ b/src/front.rs
@@ -52,9 +52,8 @@
 /// With this many bytes unwritten, the connection is not read while the memory for answers is half full: the rest
 /// is left for answers to clients that read.
 const OUTPUT_BACKLOG_BYTES: usize = 16 * 1024;
-/// Bytes read at once from a client that has not taken what was written to it: its input may be answered with
-/// twice its size.
-const MAX_READ_WITH_OUTPUT_BYTES: usize = 8 * 1024;
+/// With more than this many bytes of rejections and answers to queries in the queue, the connection is not read.
+const REJECTION_BACKLOG_BYTES: usize = 2 * MAX_JOINED_RECORDS_BYTES;
 /// Memory that a record in the output queue takes besides its bytes.
 const BYTES_PER_OUTPUT_RECORD: usize = 64;
 /// Records without a request, such as rejections, are queued together up to this size, as each queued buffer
@@ -204,6 +203,8 @@
     front_written: usize,
     unwritten_bytes: usize,
     output_memory_bytes: usize,
+    /// Of it, what records without a request take.
+    rejection_memory_bytes: usize,
     retracted_bytes: usize,
     discarded_bytes: usize,
     opened_at: Millis,
@@ -471,17 +472,25 @@
 
     fn queue_record(&mut self, request: u16, record: Vec<u8>) {
         self.unwritten_bytes += record.len();
-        match self.output_queue.back_mut() {
-            Some((0, last)) if request == 0 && last.len() + record.len() <= MAX_JOINED_RECORDS_BYTES => {
-                let before = last.capacity();
-                last.extend_from_slice(&record);
-                self.output_memory_bytes += last.capacity() - before;
-            }
-            _ => {
-                self.output_memory_bytes += record_memory(&record);
-                self.output_queue.push_back((request, record));
+        if request == 0 {
+            return self.queue_rejection(&record);
+        }
+        self.output_memory_bytes += record_memory(&record);
+        self.output_queue.push_back((request, record));
+    }
+
+    /// Queues a record without a request, together with others.
+    fn queue_rejection(&mut self, record: &[u8]) {
+        if let Some((0, last)) = self.output_queue.back_mut() {
+            if last.len() + record.len() <= last.capacity() {
+                return last.extend_from_slice(record);
             }
         }
+        let mut joined = Vec::with_capacity(record.len().max(MAX_JOINED_RECORDS_BYTES));
+        joined.extend_from_slice(record);
+        self.output_memory_bytes += record_memory(&joined);
+        self.rejection_memory_bytes += record_memory(&joined);
+        self.output_queue.push_back((0, joined));
     }
 
     /// Queues the final answer to a request; returns false if no answer is owed any more.
@@ -688,9 +697,12 @@
         self.front_written += bytes;
         self.unwritten_bytes -= bytes;
         if self.output_queue.front().is_some_and(|(_, record)| self.front_written >= record.len()) {
-            let written = self.output_queue.pop_front();
-            self.output_memory_bytes -= written.map_or(0, |(_, record)| record_memory(&record));
             self.front_written = 0;
+            let Some((request, record)) = self.output_queue.pop_front() else { return };
+            self.output_memory_bytes -= record_memory(&record);
+            if request == 0 {
+                self.rejection_memory_bytes -= record_memory(&record);
+            }
         }
     }
 
@@ -719,13 +731,14 @@
         self.output_memory_bytes
     }
 
-    /// Returns how many bytes may be read at once.
-    pub fn max_read_bytes(&self) -> usize {
-        if self.unwritten_bytes > 0 {
-            MAX_READ_WITH_OUTPUT_BYTES
-        } else {
-            usize::MAX
-        }
+    /// Whether rejections and answers to queries are queued, because the client has taken nothing for a while.
+    pub fn has_rejections(&self) -> bool {
+        self.rejection_memory_bytes > 0
+    }
+
+    /// Whether so many rejections are queued that the connection is not read.
+    pub fn has_rejection_backlog(&self) -> bool {
+        self.rejection_memory_bytes > REJECTION_BACKLOG_BYTES
     }
 
     /// Whether the connection may be read.
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -15,11 +15,16 @@
 
 /// Bytes read from one client before other sockets are served: a client that sends at full speed delays others
 /// by the time that one such portion takes.
-pub(super) const MAX_READ_BYTES: usize = 64 * 1024;
+const MAX_READ_BYTES: usize = 64 * 1024;
+/// Bytes read at once. Rejections of what they hold may take up to twice as many, and are looked at after each
+/// portion.
+pub(super) const PORTION_BYTES: usize = 16 * 1024;
+/// The same while the memory for answers runs short.
+const SMALL_PORTION_BYTES: usize = 2 * 1024;
 /// Share of the limit on requests held back beyond which clients wait. The rest is left for one portion of each.
 const HOLD_SHARE: f64 = 0.25;
 /// Connections accepted before other sockets are served.
-const MAX_ACCEPTS: usize = 64;
+pub(super) const MAX_ACCEPTS: usize = 64;
 /// Connections that may fail before they are accepted, in one round of accepting.
 const MAX_ACCEPT_FAULTS: usize = 8;
 /// Pause before accepting again when no descriptor is available for another connection.
@@ -230,6 +235,12 @@
                 ReceiveOutcome::Ended(reason) => return Some(reason),
             }
             self.limit_held_requests(key);
+            if self.clients.get(&key).is_some_and(|(_, conn)| conn.has_rejections()) {
+                // What the client takes of them needs no memory.
+                if let Some(reason) = self.write_client(key) {
+                    return Some(reason);
+                }
+            }
             if read >= MAX_READ_BYTES {
                 self.runnable.insert(Source::Front(key));
                 if let Some((_, conn)) = self.clients.get_mut(&key) {
@@ -340,7 +351,10 @@
     fn receive_from_client(&mut self, key: u64) -> ReceiveOutcome {
         let now = self.now();
         let Some((socket, conn)) = self.clients.get(&key) else { return ReceiveOutcome::Nothing };
-        let memory_lacks = self.answer_memory.is_half_full() && conn.has_output_backlog();
+        let memory_lacks = match self.answer_memory.is_half_full() {
+            true => conn.has_output_backlog() || conn.has_rejections(),
+            false => conn.has_rejection_backlog(),
+        };
         if !socket.readable || !conn.may_read() || memory_lacks {
             return ReceiveOutcome::Nothing;
         }
@@ -354,7 +368,7 @@
         if self.incoming_bytes >= self.max_incoming_bytes {
             self.reducer.counters.read_over_limit += 1;
         }
-        let portion = conn.max_read_bytes().min(self.buffer.len());
+        let portion = if self.answer_memory.is_half_full() { SMALL_PORTION_BYTES } else { PORTION_BYTES };
         let bytes = match socket.read(&mut self.buffer[..portion]) {
             Ok(bytes) => bytes,
             Err(IoStatus::Closed) => return ReceiveOutcome::Ended(ClientClose::PeerClosed),
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -1,7 +1,7 @@
 //! Memory for input: nothing is read from a client before there is room for it. Room is made by refusing
 //! incomplete requests, which is logged with the memory in use.
 
-use super::clients::{client_input, MAX_READ_BYTES};
+use super::clients::{client_input, PORTION_BYTES};
 use super::{Runtime, Source};
 use crate::api::Millis;
 use crate::front::{ShedOrder, MAX_RECEIVE_OVERHEAD_BYTES};
@@ -11,7 +11,7 @@
 use std::collections::BinaryHeap;
 
 /// Room that must be free before a client is read once.
-pub(super) const READ_ROOM_BYTES: usize = MAX_READ_BYTES + MAX_RECEIVE_OVERHEAD_BYTES;
+pub(super) const READ_ROOM_BYTES: usize = PORTION_BYTES + MAX_RECEIVE_OVERHEAD_BYTES;
 /// Share of the memory for incomplete requests that is freed at once.
 const RELIEF_SHARE: f64 = 0.125;
 /// Requests refused at once.
