Bound a cycle of the event loop: clients take turns, accepting ends

What callers would see: beside clients that connect at once whenever they are closed, a process that is told to end never leaves the end of listening: it answers nothing any more and is killed.

Cause: the listen queue was accepted until empty, which it never is then. Related: one cycle served all clients that were ready, each with 64 KB, before timers, machines and the exit's deadline had a turn; drains and the last reads at the exit did the same.

Fix: at most as many rounds as a full listen queue takes; accepting goes on in later cycles.

--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -4,9 +4,9 @@
 //!
 //! Also logs state changes of the service, and violated guarantees.
 
-use super::clients::{client_input, AcceptOutcome};
+use super::clients::{client_input, AcceptOutcome, MAX_ACCEPTS};
 use super::handover::Handover;
-use super::socket::PolledSocket;
+use super::socket::{PolledSocket, BACKLOG};
 use super::{Runtime, Source};
 use crate::api::Millis;
 use crate::front::Conn;
@@ -16,10 +16,15 @@
 use crate::{log_line, trace_event};
 use std::fmt;
 use std::net::Shutdown;
+use std::time::{Duration, Instant};
 
+/// Rounds of accepting, at most, before later requests are refused: as many as a full listen queue takes. Clients that
+/// go on connecting would be accepted without end.
+const MAX_FINAL_ACCEPT_ROUNDS: usize = BACKLOG as usize / MAX_ACCEPTS + 1;
 /// Reads per connection, at most, that discard received data before a remaining connection is closed at
-/// process exit.
+/// process exit, and the time for all of them.
 const MAX_FINAL_READS: usize = 16;
+const MAX_FINAL_READ_TIME: Duration = Duration::from_millis(50);
 /// Time after the start of a drain for which a client is waited for that reads and goes on sending requests,
 /// as it can do without end.
 const MAX_READ_WAIT_MS: Millis = 30_000.0;
@@ -36,7 +41,8 @@
 impl Runtime {
     /// Closes the connections that the current admission state no longer keeps.
     pub(super) fn drain_clients(&mut self) {
-        let now = self.now();
+        let (now, from) = (self.now(), self.drain_turns.next());
+        self.drain_turns.begin(self.start.elapsed());
         if self.reducer.service().admission(now) == Admission::Open {
             return;
         }
@@ -46,10 +52,14 @@
                 || self.reducer.service().closes_busy(now, conn.latest_request_at())
         };
         let due = self.clients.iter().filter(|(_, (_, conn))| is_due(conn));
-        let due: Vec<u64> = due.map(|(key, _)| *key).collect();
+        let mut due: Vec<u64> = due.map(|(key, _)| *key).collect();
+        let first = due.partition_point(|key| *key < from);
+        due.rotate_left(first);
         for key in due {
-            self.drain_client(key);
-            self.process_inputs();
+            if self.drain_turns.may_serve(self.start.elapsed(), key) {
+                self.drain_client(key);
+                self.process_inputs();
+            }
         }
     }
 
@@ -104,7 +114,11 @@
     /// now.
     pub(super) fn stop_listening(&mut self) {
         self.closing_listener = true;
-        while self.accept() == AcceptOutcome::MorePending {} // One round may not empty the queue.
+        for _ in 0..MAX_FINAL_ACCEPT_ROUNDS {
+            if self.accept() != AcceptOutcome::MorePending {
+                break;
+            }
+        }
 
         // Received data can't be served by another process either, so it is read before later requests are
         // refused.
@@ -136,11 +150,12 @@
     /// close resets no connection.
     pub(super) fn close_remaining_clients(&mut self) {
         let remaining: Vec<u64> = self.clients.keys().copied().collect();
+        let started = Instant::now();
         for key in remaining {
             let Some(mut socket) = self.remove_client(key, ClientClose::ProcessExit) else { continue };
             let _ = socket.stream.shutdown(Shutdown::Write); // The peer may have disconnected.
             for _ in 0..MAX_FINAL_READS {
-                if socket.read(&mut self.buffer).is_err() {
+                if started.elapsed() > MAX_FINAL_READ_TIME || socket.read(&mut self.buffer).is_err() {
                     break;
                 }
             }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -15,6 +15,7 @@
 mod operators;
 mod plugins;
 mod socket;
+mod turns;
 
 use crate::addresses::{DialKey, Endpoint};
 use crate::answer_memory::AnswerMemory;
@@ -40,10 +41,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Bound;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use turns::Turns;
 
 /// Share of the memory limit that incomplete requests may use.
 const INCOMING_MEMORY_SHARE: f64 = 0.1;
@@ -105,6 +108,9 @@
     stops_listening: bool,
     next_sweep_at: Millis,
     clients: BTreeMap<u64, (PolledSocket, Conn)>,
+    /// Whose turn it is to be read, and to be drained.
+    client_turns: Turns,
+    drain_turns: Turns,
     /// The key of the newest client connection.
     last_client: u64,
     /// Connections to clients and machines that are in a lingering close.
@@ -231,6 +237,8 @@
         stops_listening: false,
         next_sweep_at: SWEEP_INTERVAL_MS,
         clients: BTreeMap::new(),
+        client_turns: Turns::default(),
+        drain_turns: Turns::default(),
         last_client: 0,
         lingering: BTreeMap::new(),
         max_sockets: config.net.max_descriptors,
@@ -362,7 +370,7 @@
 
     /// Returns when the event loop must wake up at the latest.
     fn next_wakeup(&self) -> Millis {
-        if !self.runnable.is_empty() {
+        if !self.runnable.is_empty() || self.drain_turns.is_any_left() {
             return 0.0;
         }
         let discovery = Some(self.discovery_watch.next_poll_at);
@@ -435,9 +443,7 @@
             self.resume_after_shortage();
         }
         self.serve_settled_clients(now);
-        for source in std::mem::take(&mut self.runnable) {
-            self.serve(source);
-        }
+        self.serve_runnable();
         self.run_fleet_timers();
         self.run_connection_timers();
         self.expire_lingering(now);
@@ -528,6 +534,28 @@
         }
     }
 
+    /// Serves the sockets that are ready, in order. Clients are served for a limited time and in turns: those that
+    /// are left are served first in the next cycle, after timers and signals.
+    fn serve_runnable(&mut self) {
+        let runnable = std::mem::take(&mut self.runnable);
+        let last_client = Source::Front(u64::MAX);
+        let from = self.client_turns.next();
+        runnable.range(..Source::Front(0)).for_each(|source| self.serve(*source));
+        let clients = runnable.range(Source::Front(from)..=last_client);
+        let clients = clients.chain(runnable.range(Source::Front(0)..Source::Front(from)));
+        self.client_turns.begin(self.start.elapsed());
+        for source in clients {
+            match source {
+                Source::Front(key) if !self.client_turns.may_serve(self.start.elapsed(), *key) => {
+                    self.runnable.insert(*source);
+                }
+                source => self.serve(*source),
+            }
+        }
+        let others = runnable.range((Bound::Excluded(last_client), Bound::Unbounded));
+        others.for_each(|source| self.serve(*source));
+    }
+
     /// Serves one source. A panic closes that connection and leaves the others unaffected.
     fn serve(&mut self, source: Source) {
         let served = catch_unwind(AssertUnwindSafe(|| match source {
