Crowd: play queries, rejections, partial records, small buffers and SIGTERM

A process that is told to end beside the crowd must have ended within 4 s. It is looked for in its memory, which it gives back first, as closing sockets with much unread takes the kernel a while.

--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -10,7 +10,7 @@
 /// The platform kills a process that holds more than its limit, which is stated in MB.
 const BYTES_PER_MB: u64 = 1_000_000;
 /// Seeds that are played if no others are asked for.
-const SEEDS: [u64; 10] = [14, 16, 21, 28, 29, 30, 49, 55, 65, 74];
+const SEEDS: [u64; 10] = [5, 17, 25, 30, 33, 36, 53, 62, 74, 93];
 
 fn seeds() -> Vec<u64> {
     let Ok(asked) = std::env::var("CROWD_SEEDS") else { return SEEDS.to_vec() };
@@ -21,7 +21,7 @@
 /// Returns whether the process has kept its limit and answered those who behave.
 fn is_kept(plan: &Plan, report: &Report) -> bool {
     let has_memory = report.peak_resident < u64::from(plan.memory_mb) * BYTES_PER_MB;
-    has_memory && !report.exited && report.polite.asked == report.polite.answered
+    has_memory && report.ended_as_told && report.polite.asked == report.polite.answered
 }
 
 /// Guards against memory beyond the limit while relief is at work.
--- a/tests/rig/crowd.rs
+++ b/tests/rig/crowd.rs
@@ -17,6 +17,8 @@
 const PLAY_TIME: Duration = Duration::from_millis(2500);
 /// Time for which a process stands still while the crowd arrives.
 const PAUSE: Duration = Duration::from_millis(500);
+/// Time in which a process that is told to end has ended.
+const EXIT_TIME: Duration = Duration::from_secs(4);
 /// Most bytes that one client writes in a step.
 const MAX_STEP_BYTES: usize = 64 * 1024;
 /// Size of the router's limit on one request's parameters, nearly.
@@ -49,6 +51,18 @@
     Whole,
 }
 
+/// What a client sends before its requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Prelude {
+    Nothing,
+    /// This many records each of which is answered at once: beginnings of requests in an unknown role.
+    Rejections(usize),
+    /// This many queries for the router's limits.
+    Queries(usize),
+    /// The beginning of a record that is no part of a request, and never ends.
+    PartialRecord,
+}
+
 /// When a client reads what it is answered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Reading {
@@ -74,13 +88,17 @@
 /// How a group of clients behaves.
 #[derive(Clone, Copy, Debug)]
 struct Behavior {
+    prelude: Prelude,
     requests: u16,
     head: Head,
     progress: Progress,
+    body_bytes: usize,
     record_bytes: usize,
     step_bytes: usize,
     step_interval: Duration,
     reading: Reading,
+    /// Size of the client's receive buffer; the system's default if `None`.
+    receive_buffer: Option<usize>,
     afterwards: Afterwards,
 }
 
@@ -93,6 +111,8 @@
     behaviors: Vec<Behavior>,
     /// The process stands still until all clients have written what the kernel takes.
     arrives_at_once: bool,
+    /// The process is told to end while the crowd plays.
+    terminates: bool,
     answer_bytes: usize,
     answer_delay: Duration,
 }
@@ -106,8 +126,8 @@
     pub peak_resident: u64,
     /// What polite clients have seen.
     pub polite: Politeness,
-    /// How the process ended by itself, if it did.
-    pub exited: bool,
+    /// Whether the process ended in time if it was told to, and didn't if not.
+    pub ended_as_told: bool,
     pub log: String,
 }
 
@@ -118,6 +138,14 @@
 impl Behavior {
     fn draw(random: &mut Gen) -> Self {
         use Afterwards::*;
+        const PRELUDES: [Prelude; 6] = [
+            Prelude::Nothing,
+            Prelude::Nothing,
+            Prelude::Nothing,
+            Prelude::Rejections(20_000),
+            Prelude::Queries(5000),
+            Prelude::PartialRecord,
+        ];
         let head = match u8::arbitrary(random) % 4 {
             0 | 1 => Head::Usual,
             2 => Head::LongClass,
@@ -134,12 +162,15 @@
         ];
         Self {
             requests: choose(random, &[1, 4, 31, 32, 32, 60]),
+            prelude: choose(random, &PRELUDES),
             head,
             progress: choose(random, &progress),
+            body_bytes: choose(random, &[0, BODY_BYTES, BODY_BYTES, BODY_BYTES]),
             record_bytes: choose(random, &[1, 100, 1400, 8000, 48_000, 65_535]),
             step_bytes: choose(random, &[16, 1400, 16_000, MAX_STEP_BYTES, MAX_STEP_BYTES]),
             step_interval: Duration::from_millis(choose(random, &[0, 0, 3, 90])),
             reading: choose(random, &[Reading::AtOnce, Reading::Late, Reading::Never]),
+            receive_buffer: choose(random, &[None, Some(4096)]),
             afterwards: choose(random, &[Silent, GoesOn, AbortsAndRepeats, ComesAgain, ResetsAndComesAgain]),
         }
     }
@@ -158,6 +189,7 @@
             clients: choose(&mut random, &[60, 300, 540, 540, 700]) * sockets as usize / 1024,
             behaviors,
             arrives_at_once: bool::arbitrary(&mut random),
+            terminates: choose(&mut random, &[false, false, true]),
             answer_bytes: choose(&mut random, &[500, 20_000, 240_000]),
             answer_delay: Duration::from_millis(choose(&mut random, &[0, 0, 400, 1500])),
         }
@@ -172,10 +204,11 @@
         let polite = [(1, 0), (2, BODY_BYTES)].map(|(kind, body)| (kind, body, Client::connect(&router)));
         let (stop, crowd_has_gone, peak) =
             (AtomicBool::new(false), AtomicBool::new(false), AtomicU64::new(0));
+        let resident = AtomicU64::new(0);
         let mut results = Vec::new();
         thread::scope(|scope| {
             scope.spawn(|| self.answer_requests(endpoint, &stop));
-            scope.spawn(|| sample_memory(&router, &stop, &peak));
+            scope.spawn(|| sample_memory(&router, &stop, &peak, &resident));
             let gone = &crowd_has_gone;
             let asking = polite
                 .map(|(kind, body, client)| scope.spawn(move || ask_politely(client, kind, body, gone)));
@@ -192,20 +225,30 @@
                 router.resume();
             }
             let started = Instant::now();
+            let mut told_to_end = None;
             while started.elapsed() < PLAY_TIME {
+                if self.terminates && told_to_end.is_none() && started.elapsed() > PLAY_TIME / 2 {
+                    // What polite clients ask from now on may be refused, and their connections closed.
+                    gone.store(true, Ordering::Relaxed);
+                    router.signal("-TERM");
+                    told_to_end = Some(Instant::now());
+                }
                 crowd.iter_mut().for_each(|one| one.step(&router, Instant::now()));
                 thread::sleep(Duration::from_micros(500));
             }
             gone.store(true, Ordering::Relaxed);
+            while told_to_end.is_some_and(|at| at.elapsed() < EXIT_TIME) && router.is_running() {
+                crowd.iter_mut().for_each(|one| one.step(&router, Instant::now()));
+                thread::sleep(Duration::from_millis(1));
+            }
             results.extend(asking.map(|asking| asking.join().expect("it ends")));
             drop((crowd, ends));
         });
-        let mut router = router;
         Report {
             peak_anonymous: peak.into_inner(),
-            peak_resident: if router.has_exited() { 0 } else { router.peak_resident_bytes() },
+            peak_resident: resident.into_inner(),
             polite: results.into_iter().fold(Politeness::default(), Politeness::and),
-            exited: router.has_exited(),
+            ended_as_told: router.is_running() != self.terminates,
             log: router.log_text(),
         }
     }
@@ -250,10 +293,11 @@
     }
 }
 
-fn sample_memory(router: &Router, stop: &AtomicBool, peak: &AtomicU64) {
+fn sample_memory(router: &Router, stop: &AtomicBool, own: &AtomicU64, resident: &AtomicU64) {
     while !stop.load(Ordering::Relaxed) {
         let Some(bytes) = router.try_anonymous_bytes() else { return };
-        peak.fetch_max(bytes, Ordering::Relaxed);
+        own.fetch_max(bytes, Ordering::Relaxed);
+        resident.fetch_max(router.peak_resident_bytes().unwrap_or(0), Ordering::Relaxed);
         thread::sleep(SAMPLE_INTERVAL);
     }
 }
@@ -355,10 +399,39 @@
     fn connect(&mut self, router: &Router) {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         socket.set_nonblocking(true).expect("set");
+        if let Some(bytes) = self.behavior.receive_buffer {
+            socket.set_recv_buffer_size(bytes).expect("set");
+        }
         let address: SocketAddr = router.address.parse().expect("an address");
         let _ = socket.connect(&address.into()); // It is under way.
         self.stream = Some(socket.into());
         (self.queue, self.written, self.next, self.heads_sent) = (Vec::new(), 0, (1, 0), false);
+        self.encode_prelude();
+    }
+
+    fn encode_prelude(&mut self) {
+        const UNKNOWN_ROLE: [u8; 8] = [0, 9, 1, 0, 0, 0, 0, 0];
+        let mut one = Vec::new();
+        match self.behavior.prelude {
+            Prelude::Nothing => {}
+            Prelude::Rejections(times) => {
+                fastcgi::record(&mut one, kind::BEGIN, 99, &UNKNOWN_ROLE);
+                self.queue = one.repeat(times);
+            }
+            Prelude::Queries(times) => {
+                let mut names = Vec::new();
+                for name in [&b"FCGI_MAX_REQS"[..], b"FCGI_MAX_CONNS", b"FCGI_MPXS_CONNS"] {
+                    fastcgi::pair(&mut names, name, b"");
+                }
+                fastcgi::record(&mut one, kind::GET_VALUES, 0, &names);
+                self.queue = one.repeat(times);
+            }
+            Prelude::PartialRecord => {
+                // After it everything that the client sends belongs to this record.
+                fastcgi::record(&mut self.queue, kind::GET_VALUES, 0, &[0; 4096]);
+                self.queue.truncate(4000);
+            }
+        }
     }
 
     /// Reads and writes as much as is due.
@@ -413,8 +486,8 @@
         }
         let whole = match self.behavior.progress {
             Progress::Begun | Progress::PartOfHead | Progress::Head => return,
-            Progress::HalfBody => BODY_BYTES / 2,
-            Progress::AllButEnd | Progress::Whole => BODY_BYTES,
+            Progress::HalfBody => self.behavior.body_bytes / 2,
+            Progress::AllButEnd | Progress::Whole => self.behavior.body_bytes,
         };
         while self.queue.len() < MAX_STEP_BYTES && self.next.1 < whole {
             let (request, sent) = self.next;
@@ -430,12 +503,12 @@
     }
 
     fn encode_head(&mut self, request: u16) {
-        let Behavior { head, progress, .. } = self.behavior;
+        let Behavior { head, progress, body_bytes, .. } = self.behavior;
         self.requests_sent += 1;
         let id = self.number << 32 | self.requests_sent;
         fastcgi::record(&mut self.queue, kind::BEGIN, request, &[0, 1, 1, 0, 0, 0, 0, 0]);
         let mut params = Vec::new();
-        let (id, length) = (format!("{id:016x}"), BODY_BYTES.to_string());
+        let (id, length) = (format!("{id:016x}"), body_bytes.to_string());
         let class = match head {
             Head::LongClass => "x".repeat(LONG_PARAMS_BYTES - 200),
             Head::Usual | Head::ManyFields(_) => "page".to_owned(),
@@ -459,6 +532,9 @@
             Progress::Head | Progress::HalfBody | Progress::AllButEnd | Progress::Whole => {
                 fastcgi::record(&mut self.queue, kind::PARAMS, request, &params);
                 fastcgi::record(&mut self.queue, kind::PARAMS, request, b"");
+                if body_bytes == 0 && progress == Progress::Whole {
+                    fastcgi::record(&mut self.queue, kind::STDIN, request, b"");
+                }
             }
         }
     }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -180,8 +180,9 @@
     }
 
     /// Returns the peak of the resident set in bytes, the pages of program and libraries included.
-    pub fn peak_resident_bytes(&self) -> u64 {
-        self.status_bytes("VmHWM:").expect("it runs")
+    /// `None` if the process has exited.
+    pub fn peak_resident_bytes(&self) -> Option<u64> {
+        self.status_bytes("VmHWM:")
     }
 
     /// Returns a figure that the kernel states in KB, in bytes.
@@ -232,6 +233,11 @@
         self.signal("-CONT");
     }
 
+    /// Returns whether the process runs, or has exited and was not waited for.
+    pub fn is_running(&self) -> bool {
+        self.try_anonymous_bytes().is_some()
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
