Let what is allocated decide too, beyond 0.7 of the limit

What callers would see: memory beyond the limit by something that no account holds. The shares still add up to 0.9 of the limit, with the program's pages (some 4 MB resident) and the allocator's slack beside them.

Change: what is allocated, counted at the allocator, is asked before each read from a client, each round of accepting and each body over 4 KB. Beyond 0.7 of the limit relief acts on incomplete requests, no client is read, no connection accepted, and bodies wait (one at a time still passes after 1 s, as before).

--- a/src/answer_memory.rs
+++ b/src/answer_memory.rs
@@ -31,6 +31,8 @@
     unsent: usize,
     /// Bodies that wait, the longest first.
     waiting: VecDeque<Waiting>,
+    /// What the whole process has room for.
+    process_room: usize,
     /// The connection whose body is read beyond the limit.
     overdue: Option<ConnectionKey>,
 }
@@ -38,7 +40,7 @@
 impl AnswerMemory {
     /// Creates an empty account with a limit in bytes.
     pub fn new(limit: usize) -> Self {
-        Self { limit, ..Self::default() }
+        Self { limit, process_room: usize::MAX, ..Self::default() }
     }
 
     /// Changes the limit. What is charged beyond a lower one stays until it is sent.
@@ -46,6 +48,11 @@
         self.limit = limit;
     }
 
+    /// Sets for how many bytes the whole process has room. A body that does not fit waits, whatever this account says.
+    pub fn set_process_room(&mut self, bytes: usize) {
+        self.process_room = bytes;
+    }
+
     /// Returns the number of bytes charged.
     pub fn charged(&self) -> usize {
         self.arriving_total + self.unsent
@@ -109,12 +116,13 @@
 
     fn fits(&self, bytes: usize) -> bool {
         // A body larger than the limit is read alone.
-        self.charged() + bytes <= self.limit || self.charged() == 0
+        self.charged() == 0 || (self.charged() + bytes <= self.limit && bytes <= self.process_room)
     }
 
     fn charge_arriving(&mut self, connection: ConnectionKey, bytes: usize) {
         *self.arriving.entry(connection).or_default() += bytes;
         self.arriving_total += bytes;
+        self.process_room = self.process_room.saturating_sub(bytes);
     }
 }
 
--- a/src/answer_memory/tests.rs
+++ b/src/answer_memory/tests.rs
@@ -22,6 +22,18 @@
     assert!(memory.is_half_full());
 }
 
+#[test]
+fn a_body_waits_where_the_process_has_no_room_although_its_account_has() {
+    let mut memory = AnswerMemory::new(LIMIT);
+    memory.unsent_changed(0, 1);
+    memory.set_process_room(150);
+    assert!(memory.admit(0.0, 1, 100) && !memory.admit(0.0, 2, 100));
+    memory.set_process_room(99);
+    assert!(memory.take_admitted(1.0).is_empty());
+    memory.set_process_room(100);
+    assert_eq!(memory.take_admitted(2.0), [2]);
+}
+
 #[test]
 fn a_body_that_has_waited_for_long_is_read_although_there_is_no_room_one_at_a_time() {
     let mut memory = AnswerMemory::new(LIMIT);
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -5,6 +5,14 @@
 
 use std::fmt;
 
+/// Share of the limit that may be allocated. The pages of the program, and what the allocator keeps, take the rest.
+const ALLOCATION_SHARE: f64 = 0.7;
+
+/// Returns how many bytes may still be allocated under a limit of the process, whatever the accounts of the uses say.
+pub fn allocation_room(limit: usize, allocated: usize) -> usize {
+    ((limit as f64 * ALLOCATION_SHARE) as usize).saturating_sub(allocated)
+}
+
 /// Memory in use at one moment, in bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
@@ -33,3 +41,6 @@
         write!(f, " held={held} queued={queued} bodies={bodies} answers={answers}")
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -100,6 +100,9 @@
             }
             let Some((listener, _)) = &self.listener else { return AcceptOutcome::QueueEmpty };
             let listener = listener.clone();
+            if self.allocation_room() == 0 {
+                return AcceptOutcome::Paused;
+            }
             if self.clients.len() >= self.reducer.max_client_connections() && !self.shed_client() {
                 return AcceptOutcome::Paused;
             }
--- a/src/runtime/machines.rs
+++ b/src/runtime/machines.rs
@@ -219,6 +219,7 @@
 
     /// Reads the bodies of answers for which there is memory by now.
     pub(super) fn read_admitted_bodies(&mut self) {
+        self.answer_memory.set_process_room(self.allocation_room());
         for key in self.answer_memory.take_admitted(self.now()) {
             let (events, error) = self.connections.grant_body(self.now(), key);
             self.runnable.insert(Source::Link(key));
@@ -260,6 +261,7 @@
     /// Reads a body if there is memory for it, and pauses its connection otherwise.
     fn begin_body(&mut self, key: ConnectionKey, bytes: usize) -> ReadStep {
         let now = self.now();
+        self.answer_memory.set_process_room(self.allocation_room());
         if !self.answer_memory.admit(now, key, bytes) {
             self.reducer.counters.answers_delayed += 1;
             self.connections.pause(key);
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -6,7 +6,7 @@
 use crate::api::Millis;
 use crate::front::{ShedOrder, MAX_RECEIVE_OVERHEAD_BYTES};
 use crate::log_line;
-use crate::memory::{measure, Figures};
+use crate::memory::{self, measure, Figures};
 use crate::reasons::{ClientClose, Refusal};
 use std::collections::BinaryHeap;
 
@@ -62,7 +62,13 @@
     }
 
     fn has_input_room(&self) -> bool {
-        self.incoming_bytes + READ_ROOM_BYTES <= self.max_incoming_bytes
+        let has_share = self.incoming_bytes + READ_ROOM_BYTES <= self.max_incoming_bytes;
+        has_share && self.allocation_room() >= READ_ROOM_BYTES
+    }
+
+    /// Returns how many bytes the process may still allocate.
+    pub(super) fn allocation_room(&self) -> usize {
+        memory::allocation_room(self.memory_bytes, measure::allocated_bytes())
     }
 
     /// Has a client read again after a pause.
@@ -89,7 +95,7 @@
     /// enough, closes connections that hold parts of other records.
     fn free_input_memory(&mut self) {
         let freed = READ_ROOM_BYTES.max((self.max_incoming_bytes as f64 * RELIEF_SHARE) as usize);
-        let target = self.max_incoming_bytes.saturating_sub(freed);
+        let target = self.max_incoming_bytes.min(self.incoming_bytes).saturating_sub(freed);
         while self.incoming_bytes > target {
             let candidates = self.first_to_refuse();
             if candidates.is_empty() {
@@ -102,7 +108,8 @@
                 self.refuse_for_memory(key, request);
             }
         }
-        while !self.has_input_room() && self.close_undecoded() {}
+        let has_no_share = |state: &Self| state.incoming_bytes + READ_ROOM_BYTES > state.max_incoming_bytes;
+        while has_no_share(self) && self.close_undecoded() {}
     }
 
     /// Returns the incomplete requests that are refused first, in this order, with their clients.
