Try to free memory once a pause, and close no drained client that wasn't read

What callers would see: a busy core while more than 0.7 of the limit is allocated and nothing is left to refuse, and a request lost whose last byte stood in the kernel when a drain closed its client.

Cause: each client that waited for memory walked all clients again every 5 ms, up to 563 x 563; the part of a drain that closes busy connections didn't ask whether the client's input had been left for memory, as the idle part does.

Fix: where freeing has failed it is tried again after the pause; a client whose input was left is read before a drain closes it. tests/drain.rs, shutdown, memory and floods pass; no test forces either case.

--- a/src/runtime/drains.rs
+++ b/src/runtime/drains.rs
@@ -97,6 +97,9 @@
         check_kernel(now, socket, conn);
         let evacuated_at = self.reducer.service().evacuating_since();
         let waited_too_long = evacuated_at.is_some_and(|at| now - at > MAX_READ_WAIT_MS);
+        if may_have_sent {
+            return; // It is read first: what it has sent may be a request.
+        }
         if conn.can_close_at_deadline(now) || (waited_too_long && conn.all_answers_sent()) {
             self.close_client(key, ClientClose::Draining);
         }
--- a/src/runtime/memory.rs
+++ b/src/runtime/memory.rs
@@ -10,7 +10,8 @@
 use crate::reasons::{ClientClose, Refusal};
 use std::collections::BinaryHeap;
 
-/// Room that must be free before a client is read once.
+/// Room that must be free before a client is read once, and so the most by which a read fills its share. Requests
+/// that become complete leave the share for that of held requests, which they pass by what this share holds at most.
 pub(super) const READ_ROOM_BYTES: usize = PORTION_BYTES + MAX_RECEIVE_OVERHEAD_BYTES;
 /// Share of the memory for incomplete requests that is freed at once.
 const RELIEF_SHARE: f64 = 0.125;
@@ -55,7 +56,8 @@
         if self.inbox.request_bytes() > self.max_incoming_bytes {
             return false; // What was read is handled first.
         }
-        if !self.has_input_room() {
+        // Where freeing has just failed, it is tried again after the pause, not for each client.
+        if !self.has_input_room() && self.resume_input_at.is_none() {
             self.free_input_memory();
         }
         self.has_input_room()
